--- /dev/null
+++ b/core/claim_ledger.cpp
@@ -0,0 +1,187 @@
+#include "core/claim_ledger.h"
+
+namespace mimosacart {
+
+namespace {
+
+/// Ledgers of departed hosts that are kept; the oldest gives way.
+constexpr std::size_t MaxAdoptedLedgers = 64;
+
+std::size_t bytesOf(const AnswerPtr &Reply) {
+  return Reply ? Reply->Body.size() : 0;
+}
+
+ClaimDecision refused(Outcome What, Reason Why) {
+  return {ClaimVerdict::Refused, toAnswer({What, Why, Duration::zero()})};
+}
+
+bool isUnknown(const AnswerPtr &Reply) {
+  return Reply && outcomeOf(*Reply) == Outcome::Unknown;
+}
+
+} // namespace
+
+ClaimLedger::ClaimLedger(HostName Host, Incarnation Life, Instant Start,
+                         ClaimLimits Limits)
+    : Host(std::move(Host)), Life(Life), Start(Start), Limits(Limits) {}
+
+std::uint64_t ClaimLedger::epochAt(Instant Now) const {
+  return static_cast<std::uint64_t>((Now - Start) / Limits.EpochLength);
+}
+
+std::uint64_t ClaimLedger::oldestEpochAt(Instant Now) const {
+  const std::uint64_t Current = epochAt(Now);
+  return Current > Limits.RetainedEpochs ? Current - Limits.RetainedEpochs : 0;
+}
+
+IssuerToken ClaimLedger::currentToken(Instant Now) const {
+  return {Host, Life, epochAt(Now)};
+}
+
+ClaimDecision ClaimLedger::claim(Instant Now, const IssuerToken &Token,
+                                 const std::string &Key) {
+  // Also holds for epochs that were never issued: nothing is known of them.
+  if (Token.Epoch < oldestEpochAt(Now) || Token.Epoch > epochAt(Now))
+    return refused(Outcome::Unknown, Reason::TokenExpired);
+  EpochClaims &Claims = Epochs[Token.Epoch];
+  const auto Found = Claims.find(Key);
+  if (Found != Claims.end()) {
+    if (!Found->second.Settled)
+      return {ClaimVerdict::Pending, nullptr};
+    if (!Found->second.Reply)
+      return refused(Outcome::Ran, Reason::AnswerDropped);
+    return {ClaimVerdict::Settled, Found->second.Reply};
+  }
+  // A full epoch stays full until it is forgotten, so this refusal stays true
+  // without a tombstone of its own.
+  if (Claims.size() >= Limits.ClaimsPerEpoch)
+    return refused(Outcome::NotRun, Reason::Overloaded);
+  Claims.emplace(Key, Claim());
+  ++PendingCount;
+  return {ClaimVerdict::Granted, nullptr};
+}
+
+ClaimDecision ClaimLedger::lookUpAdopted(const IssuerToken &Token,
+                                         const std::string &Key) const {
+  const auto Ledger = AdoptedLedgers.find({Token.Host, Token.Life});
+  if (Ledger == AdoptedLedgers.end())
+    return refused(Outcome::Unknown, Reason::IssuerGone);
+  const Adopted &Held = Ledger->second;
+  if (Token.Epoch < Held.OldestEpoch || Token.Epoch > Held.CurrentEpoch)
+    return refused(Outcome::Unknown, Reason::TokenExpired);
+  const auto Epoch = Held.Claims.find(Token.Epoch);
+  // The incarnation sent all its claims and has stopped, so a key that it did
+  // not name has not run and can never run.
+  if (Epoch == Held.Claims.end() || !Epoch->second.contains(Key))
+    return refused(Outcome::NotRun, Reason::IssuerGone);
+  const AnswerPtr &Reply = Epoch->second.at(Key);
+  if (!Reply)
+    return refused(Outcome::Ran, Reason::AnswerDropped);
+  return {ClaimVerdict::Settled, Reply};
+}
+
+void ClaimLedger::settle(const ClaimKey &Claim, const AnswerPtr &Reply) {
+  const auto Epoch = Epochs.find(Claim.Epoch);
+  if (Epoch == Epochs.end())
+    return;
+  const auto Found = Epoch->second.find(Claim.Key);
+  if (Found == Epoch->second.end())
+    return;
+  if (!Found->second.Settled) {
+    Found->second.Settled = true;
+    --PendingCount;
+    storeAnswer(Claim, Found->second, Reply);
+    return;
+  }
+  if (isUnknown(Found->second.Reply) && !isUnknown(Reply))
+    storeAnswer(Claim, Found->second, Reply);
+}
+
+void ClaimLedger::storeAnswer(const ClaimKey &Key, Claim &Into,
+                              const AnswerPtr &Reply) {
+  StoredBytes -= bytesOf(Into.Reply);
+  StoredBytes += bytesOf(Reply);
+  Into.Reply = Reply;
+  // Refusals are few bytes and must stay exact, so only answers give way.
+  if (Reply && !outcomeOf(*Reply))
+    AnswerOrder.push_back(Key);
+  dropOldestAnswers();
+}
+
+void ClaimLedger::dropOldestAnswers() {
+  while (StoredBytes > Limits.AnswerBytes && !AnswerOrder.empty()) {
+    const ClaimKey Oldest = AnswerOrder.front();
+    AnswerOrder.pop_front();
+    const auto Epoch = Epochs.find(Oldest.Epoch);
+    if (Epoch == Epochs.end())
+      continue;
+    Claim &Dropped = Epoch->second.at(Oldest.Key);
+    StoredBytes -= bytesOf(Dropped.Reply);
+    Dropped.Reply = nullptr;
+  }
+}
+
+void ClaimLedger::expire(Instant Now) {
+  const std::uint64_t Oldest = oldestEpochAt(Now);
+  while (!Epochs.empty() && Epochs.begin()->first < Oldest) {
+    for (const auto &[Key, Forgotten] : Epochs.begin()->second) {
+      StoredBytes -= bytesOf(Forgotten.Reply);
+      PendingCount -= Forgotten.Settled ? 0 : 1;
+    }
+    Epochs.erase(Epochs.begin());
+  }
+  while (!AnswerOrder.empty() && AnswerOrder.front().Epoch < Oldest)
+    AnswerOrder.pop_front();
+}
+
+std::vector<Handover> ClaimLedger::handovers(Instant Now) const {
+  std::vector<Handover> Result{ownHandover(Now)};
+  for (const auto &[Owner, Held] : AdoptedLedgers) {
+    Handover Passed{
+        Owner.first, Owner.second, Held.CurrentEpoch, Held.OldestEpoch, {}};
+    for (const auto &[Epoch, Claims] : Held.Claims)
+      for (const auto &[Key, Reply] : Claims)
+        Passed.Claims.push_back({Epoch, Key, Reply});
+    Result.push_back(std::move(Passed));
+  }
+  return Result;
+}
+
+Handover ClaimLedger::ownHandover(Instant Now) const {
+  Handover Result;
+  Result.From = Host;
+  Result.Life = Life;
+  Result.CurrentEpoch = epochAt(Now);
+  Result.OldestEpoch = oldestEpochAt(Now);
+  const AnswerPtr InterruptedReply =
+      toAnswer({Outcome::Unknown, Reason::IssuerGone, Duration::zero()});
+  for (const auto &[Epoch, Claims] : Epochs)
+    for (const auto &[Key, Held] : Claims)
+      Result.Claims.push_back(
+          {Epoch, Key, Held.Settled ? Held.Reply : InterruptedReply});
+  return Result;
+}
+
+void ClaimLedger::adopt(const Handover &Received) {
+  const LedgerOwner Owner{Received.From, Received.Life};
+  if (!AdoptedLedgers.contains(Owner))
+    AdoptionOrder.push_back(Owner);
+  Adopted &Held = AdoptedLedgers[Owner];
+  Held.OldestEpoch = Received.OldestEpoch;
+  Held.CurrentEpoch = Received.CurrentEpoch;
+  for (const HandedClaim &Claim : Received.Claims)
+    Held.Claims[Claim.Epoch][Claim.Key] = Claim.Reply;
+  while (AdoptionOrder.size() > MaxAdoptedLedgers) {
+    AdoptedLedgers.erase(AdoptionOrder.front());
+    AdoptionOrder.pop_front();
+  }
+}
+
+std::size_t ClaimLedger::size() const {
+  std::size_t Count = 0;
+  for (const auto &[Epoch, Claims] : Epochs)
+    Count += Claims.size();
+  return Count;
+}
+
+} // namespace mimosacart
--- /dev/null
+++ b/core/dispatcher.cpp
@@ -0,0 +1,436 @@
+#include "core/dispatcher.h"
+
+#include <algorithm>
+
+namespace mimosacart {
+
+namespace {
+
+/// Moves of an attempt between hosts; a view that is wrong everywhere must
+/// not keep an attempt travelling.
+constexpr std::uint32_t MaxHops = 4;
+/// Attempt times kept per kind.
+constexpr std::size_t TimeSamples = 512;
+/// The quantile is computed again after so many samples.
+constexpr std::size_t QuantileEvery = 64;
+/// Time to wait that is proposed to a caller refused for load.
+constexpr Duration OverloadRetryAfter = std::chrono::seconds(1);
+
+bool helpsToWait(Reason Why) {
+  return Why == Reason::Overloaded || Why == Reason::NoServer ||
+         Why == Reason::ServerUnreachable || Why == Reason::ServerRefused ||
+         Why == Reason::DeadlinePassed;
+}
+
+} // namespace
+
+Dispatcher::Dispatcher(HostName Self, Incarnation Life, DispatchPolicy Policy,
+                       Scheduler &Local, LoadView &Loads, Hooks Use)
+    : Self(std::move(Self)), Life(Life), Policy(Policy), Local(Local),
+      Loads(Loads), Use(std::move(Use)) {}
+
+Dispatcher::ServiceBudget &Dispatcher::budgetOf(const ServiceName &Service) {
+  const auto Found = Budgets.find(Service);
+  if (Found != Budgets.end())
+    return Found->second;
+  const ServiceBudget Full{TokenBucket(Policy.RetryBurst, Policy.RetryBurst),
+                           TokenBucket(Policy.HedgeBurst, Policy.HedgeBurst)};
+  return Budgets.emplace(Service, Full).first->second;
+}
+
+Dispatcher::KindTimes &Dispatcher::timesOf(const DispatchRequest &Request) {
+  return Times[Request.Service.value() + '/' + Request.Kind.Name];
+}
+
+void Dispatcher::start(Instant Now, DispatchRequest Request) {
+  const RequestId Id = Request.Id;
+  Work Added;
+  const unsigned Allowed =
+      Request.Kind.Idempotent ? Request.Kind.Retries + 1 : 1;
+  Added.AttemptsLeft =
+      std::min(Allowed, Request.Request->AttemptsLeft.value_or(Allowed));
+  Added.AttemptsLeft = std::max(Added.AttemptsLeft, 1U);
+  Added.Request = std::move(Request);
+  Work &Of = Works.emplace(Id, std::move(Added)).first->second;
+  ServiceBudget &Budget = budgetOf(Of.Request.Service);
+  Budget.Retries.earn(Policy.RetryShare);
+  if (Of.Request.Kind.Hedge) {
+    Budget.Hedges.earn(Policy.HedgeShare);
+    const Duration Quantile = timesOf(Of.Request).Quantile;
+    if (Quantile > Duration::zero())
+      Of.HedgeAt = Now + Quantile;
+  }
+  Timers.emplace(std::min(Of.HedgeAt, Of.Request.Deadline), Id);
+  if (Use.CrashCount(Of.Request.Fingerprint) >= Policy.QuarantineCrashes) {
+    DispatchResult Result;
+    Result.Refused = {Outcome::NotRun, Reason::Quarantined, Duration::zero()};
+    finish(Now, Id, std::move(Result));
+    return;
+  }
+  place(Now, Of, ServerName());
+}
+
+std::optional<HostName>
+Dispatcher::choosePlace(Instant Now, const ServiceName &Service) const {
+  const ServiceLoad Own = Local.load(Now, Service);
+  if (Own.FreeSlots > 0 && Own.Queued == 0)
+    return Self;
+  if (const auto Idle = Loads.withFreeSlot(Service, Self))
+    return Idle;
+  if (Own.UsableSlots > 0)
+    return Self;
+  if (const auto Peer = Loads.leastLoaded(Service, Self))
+    return Peer;
+  if (Local.owns(Service))
+    return Self;
+  return std::nullopt;
+}
+
+void Dispatcher::place(Instant Now, Work &Of, const ServerName &Avoid) {
+  const RequestId Owner = Of.Request.Id;
+  const auto Place = choosePlace(Now, Of.Request.Service);
+  --Of.AttemptsLeft;
+  ++Of.AttemptsMade;
+  const AttemptId Id(++LastAttempt);
+  Of.Open.push_back(Id);
+  Attempts[Id] = {Owner, Place.value_or(Self), Now};
+  if (!Place) {
+    AttemptResult None;
+    None.End = AttemptEnd::NotRun;
+    None.Why = Reason::NoServer;
+    onAttemptResult(Now, Id, None);
+    return;
+  }
+  Use.Placed(Of.Request, Id, *Place);
+  sendAttempt(Now, Of, Id, *Place, Avoid);
+}
+
+void Dispatcher::sendAttempt(Instant Now, const Work &Of, AttemptId Id,
+                             const HostName &To, const ServerName &Avoid) {
+  WorkItem Item;
+  Item.Origin = Self;
+  Item.OriginLife = Life;
+  Item.Attempt = Id;
+  Item.Service = Of.Request.Service;
+  Item.Kind = Of.Request.Kind;
+  Item.Request = Of.Request.Request;
+  Item.ExpiresAt = Of.Request.Deadline;
+  Item.Avoid = Avoid;
+  if (To == Self) {
+    Local.submit(Now, std::move(Item));
+    return;
+  }
+  forwardItem(Now, To, std::move(Item));
+}
+
+void Dispatcher::forwardItem(Instant Now, const HostName &To, WorkItem Item) {
+  ++ForwardCount;
+  Loads.noteForwarded(To, Item.Service);
+  ForwardedAttempt Message;
+  Message.Origin = Item.Origin;
+  Message.OriginLife = Item.OriginLife;
+  Message.Attempt = Item.Attempt;
+  Message.Service = Item.Service;
+  Message.Kind = Item.Kind.Name;
+  Message.Request = Item.Request;
+  Message.Remaining = Item.ExpiresAt - Now - Policy.ForwardMargin;
+  Message.Hops = Item.Hops + 1;
+  Message.Avoid = Item.Avoid;
+  Use.Send(To, std::move(Message));
+}
+
+void Dispatcher::moveItem(Instant Now, const HostName &To, WorkItem Item) {
+  if (Item.Origin == Self && Item.OriginLife == Life) {
+    const auto Own = Attempts.find(Item.Attempt);
+    if (Own != Attempts.end())
+      Own->second.Holder = To;
+  }
+  forwardItem(Now, To, std::move(Item));
+}
+
+void Dispatcher::onForwarded(Instant Now, const ForwardedAttempt &Message,
+                             const RequestKind *Kind) {
+  WorkItem Item;
+  Item.Origin = Message.Origin;
+  Item.OriginLife = Message.OriginLife;
+  Item.Attempt = Message.Attempt;
+  Item.Service = Message.Service;
+  Item.Request = Message.Request;
+  Item.ExpiresAt = Now + Message.Remaining;
+  Item.Hops = Message.Hops;
+  Item.Avoid = Message.Avoid;
+  // A host with an older configuration cannot tell how to treat the request.
+  if (Kind == nullptr) {
+    AttemptResult Refused;
+    Refused.End = AttemptEnd::NotRun;
+    Refused.Why = Reason::NoServer;
+    Use.Send(Message.Origin, AttemptAnswer{Message.OriginLife, Message.Attempt,
+                                           Refused, std::nullopt});
+    return;
+  }
+  Item.Kind = *Kind;
+  const ServiceLoad Own = Local.load(Now, Item.Service);
+  const bool CanPassOn = Item.Hops < MaxHops;
+  if (Own.UsableSlots == 0 && CanPassOn) {
+    const auto Other = Loads.withFreeSlot(Item.Service, Self);
+    if (Other && *Other != Message.Origin) {
+      forwardItem(Now, *Other, std::move(Item));
+      return;
+    }
+  }
+  Local.submit(Now, std::move(Item));
+}
+
+void Dispatcher::onWorkWanted(Instant Now, const HostName &From,
+                              const WorkWanted &Message) {
+  for (WorkItem &Item : Local.take(Message.Service, Message.Slots)) {
+    if (Item.Hops >= MaxHops) {
+      Local.submit(Now, std::move(Item));
+      continue;
+    }
+    moveItem(Now, From, std::move(Item));
+  }
+}
+
+void Dispatcher::onServiceLost(Instant Now, const ServiceName &Service) {
+  for (WorkItem &Item : Local.take(Service, Local.queuedAttempts())) {
+    const auto To = Loads.leastLoaded(Service, Self);
+    if (!To) {
+      Local.submit(Now, std::move(Item));
+      continue;
+    }
+    moveItem(Now, *To, std::move(Item));
+  }
+}
+
+void Dispatcher::onLocalLoadChanged(Instant Now, const ServiceName &Service) {
+  askForWork(Now, Service);
+}
+
+void Dispatcher::askForWork(Instant Now, const ServiceName &Service) {
+  const ServiceLoad Own = Local.load(Now, Service);
+  if (Own.FreeSlots == 0 || Own.Queued > 0)
+    return;
+  const auto Busy = Loads.withQueue(Service, Self);
+  if (!Busy)
+    return;
+  Loads.noteTaken(*Busy, Service, Own.FreeSlots);
+  Use.Send(*Busy, WorkWanted{Service, Own.FreeSlots});
+}
+
+void Dispatcher::onAttemptResult(Instant Now, AttemptId Id,
+                                 AttemptResult Result) {
+  const auto Found = Attempts.find(Id);
+  if (Found == Attempts.end())
+    return;
+  const Attempt Ended = Found->second;
+  Attempts.erase(Found);
+  const auto Owner = Works.find(Ended.Owner);
+  if (Owner == Works.end())
+    return;
+  Work &Of = Owner->second;
+  std::erase(Of.Open, Id);
+  Use.Ended(Of.Request, Id, Result);
+  if (Result.End == AttemptEnd::Answered) {
+    recordTime(Of, Now - Ended.StartedAt);
+    DispatchResult Done;
+    Done.Reply = Result.Reply;
+    Done.Server = Result.Server;
+    Done.ServiceTime = Result.ServiceTime;
+    finish(Now, Ended.Owner, std::move(Done));
+    return;
+  }
+  if (Result.End == AttemptEnd::Failed)
+    Of.MayHaveRun = true;
+  Of.Last = Result;
+  if (!Of.Open.empty())
+    return;
+  if (mayRetry(Now, Of, Result)) {
+    ++RetryCount;
+    place(Now, Of, Result.Server);
+    return;
+  }
+  conclude(Now, Of);
+}
+
+bool Dispatcher::mayRetry(Instant Now, Work &Of, const AttemptResult &Result) {
+  if (Of.Reported || Now >= Of.Request.Deadline)
+    return false;
+  const bool ProvenNotRun = Result.End == AttemptEnd::NotRun;
+  // A request that may not be repeated is tried again only on proof, and the
+  // proof costs no attempt of its allowance.
+  if (!Of.Request.Kind.Idempotent && !(ProvenNotRun && !Of.MayHaveRun))
+    return false;
+  if (Result.Why == Reason::Overloaded ||
+      Result.Why == Reason::DeadlinePassed || Result.Why == Reason::NoServer)
+    return false;
+  if (ProvenNotRun && Of.AttemptsLeft == 0)
+    ++Of.AttemptsLeft;
+  if (Of.AttemptsLeft == 0)
+    return false;
+  const std::size_t Crashes = Use.CrashCount(Of.Request.Fingerprint);
+  if (Crashes >= Policy.QuarantineCrashes)
+    return false;
+  return budgetOf(Of.Request.Service).Retries.spend(1);
+}
+
+void Dispatcher::conclude(Instant Now, Work &Of) {
+  DispatchResult Result;
+  Result.Server = Of.Last.Server;
+  // An error answer of the application is the caller's to see.
+  if (Of.Last.Reply) {
+    Answer Relayed = *Of.Last.Reply;
+    Relayed.Headers.push_back({RetryHeader, "exhausted"});
+    Result.Reply = std::make_shared<const Answer>(std::move(Relayed));
+    finish(Now, Of.Request.Id, std::move(Result));
+    return;
+  }
+  Result.Refused.What = Of.MayHaveRun ? Outcome::Unknown : Outcome::NotRun;
+  Result.Refused.Why = Of.Last.Why;
+  if (helpsToWait(Of.Last.Why))
+    Result.Refused.RetryAfter = OverloadRetryAfter;
+  finish(Now, Of.Request.Id, std::move(Result));
+}
+
+void Dispatcher::finish(Instant Now, RequestId Id, DispatchResult Result) {
+  const auto Found = Works.find(Id);
+  if (Found == Works.end())
+    return;
+  Result.Attempts = Found->second.AttemptsMade;
+  cancelOpen(Now, Found->second);
+  const DispatchRequest Request = std::move(Found->second.Request);
+  Works.erase(Found);
+  Use.Finished(Request, std::move(Result));
+}
+
+void Dispatcher::cancelOpen(Instant Now, Work &Of) {
+  for (const AttemptId Id : Of.Open) {
+    const auto Found = Attempts.find(Id);
+    if (Found == Attempts.end())
+      continue;
+    const HostName Holder = Found->second.Holder;
+    Attempts.erase(Found);
+    if (Holder == Self)
+      Local.cancel(Now, {Self, Life, Id});
+    else
+      Use.Send(Holder, CancelForwarded{Life, Id});
+  }
+  Of.Open.clear();
+}
+
+void Dispatcher::abandon(Instant Now, RequestId Id) {
+  const auto Found = Works.find(Id);
+  if (Found == Works.end() || !Found->second.Request.Kind.Idempotent)
+    return;
+  cancelOpen(Now, Found->second);
+  Works.erase(Found);
+}
+
+void Dispatcher::onHostGone(Instant Now, const HostName &Host,
+                            Incarnation OfLife) {
+  Local.dropOrigin(Host, OfLife);
+  std::vector<AttemptId> Lost;
+  for (const auto &[Id, Given] : Attempts)
+    if (Given.Holder == Host)
+      Lost.push_back(Id);
+  AttemptResult Gone;
+  Gone.End = AttemptEnd::Failed;
+  Gone.Why = Reason::HolderGone;
+  for (const AttemptId Id : Lost) {
+    const auto Given = Attempts.find(Id);
+    if (Given == Attempts.end())
+      continue;
+    const auto Owner = Works.find(Given->second.Owner);
+    if (Owner == Works.end())
+      continue;
+    // The host may only be cut off, so its answer may still come; until the
+    // deadline nothing is certain about work that may not be repeated.
+    if (!Owner->second.Request.Kind.Idempotent)
+      continue;
+    onAttemptResult(Now, Id, Gone);
+  }
+}
+
+void Dispatcher::tick(Instant Now) {
+  while (!Timers.empty() && Timers.begin()->first <= Now) {
+    const RequestId Id = Timers.begin()->second;
+    Timers.erase(Timers.begin());
+    const auto Found = Works.find(Id);
+    if (Found == Works.end())
+      continue;
+    Work &Of = Found->second;
+    if (Now >= Of.ForgetAt) {
+      DispatchResult Forgotten;
+      Forgotten.Refused = {Outcome::Unknown, Reason::DeadlinePassed, {}};
+      finish(Now, Id, std::move(Forgotten));
+      continue;
+    }
+    if (Now >= Of.Request.Deadline) {
+      expireDeadline(Now, Of);
+      continue;
+    }
+    Timers.emplace(Of.Request.Deadline, Id);
+    hedge(Now, Of);
+  }
+}
+
+void Dispatcher::expireDeadline(Instant Now, Work &Of) {
+  if (Of.Reported)
+    return;
+  const bool Running = !Of.Open.empty();
+  DispatchResult Result;
+  Result.Refused.What =
+      Running || Of.MayHaveRun ? Outcome::Unknown : Outcome::NotRun;
+  Result.Refused.Why = Reason::DeadlinePassed;
+  if (Of.Request.Kind.Idempotent) {
+    finish(Now, Of.Request.Id, std::move(Result));
+    return;
+  }
+  // Keeps the record, so that a late answer can still settle the claim.
+  Result.Attempts = Of.AttemptsMade;
+  Result.Final = false;
+  Of.Reported = true;
+  Of.ForgetAt = Now + Policy.LateAnswerWindow;
+  Timers.emplace(Of.ForgetAt, Of.Request.Id);
+  const DispatchRequest Request = Of.Request;
+  Use.Finished(Request, std::move(Result));
+}
+
+void Dispatcher::hedge(Instant Now, Work &Of) {
+  if (Of.Hedged || Now < Of.HedgeAt || Of.Open.size() != 1)
+    return;
+  if (Use.CrashCount(Of.Request.Fingerprint) > 0)
+    return;
+  const ServiceName &Service = Of.Request.Service;
+  // A hedge takes a slot that is free; it never waits in front of others.
+  const bool LocalFree = Local.load(Now, Service).FreeSlots > 0;
+  if (!LocalFree && !Loads.withFreeSlot(Service, Self))
+    return;
+  if (!budgetOf(Service).Hedges.spend(1))
+    return;
+  Of.Hedged = true;
+  ++HedgeCount;
+  ++Of.AttemptsLeft;
+  place(Now, Of, Local.serverOf({Self, Life, Of.Open.front()}));
+}
+
+void Dispatcher::recordTime(const Work &Of, Duration Time) {
+  if (!Of.Request.Kind.Hedge)
+    return;
+  KindTimes &Kept = timesOf(Of.Request);
+  if (Kept.Samples.size() < TimeSamples)
+    Kept.Samples.push_back(Time);
+  else
+    Kept.Samples[Kept.Next % TimeSamples] = Time;
+  ++Kept.Next;
+  if (Kept.Samples.size() < Policy.HedgeMinSamples ||
+      Kept.Next % QuantileEvery != 0)
+    return;
+  std::vector<Duration> Sorted = Kept.Samples;
+  const auto Rank = static_cast<std::ptrdiff_t>(
+      Policy.HedgeQuantile * static_cast<double>(Sorted.size() - 1));
+  std::nth_element(Sorted.begin(), Sorted.begin() + Rank, Sorted.end());
+  Kept.Quantile = Sorted[static_cast<std::size_t>(Rank)];
+}
+
+} // namespace mimosacart
--- /dev/null
+++ b/core/load_view.cpp
@@ -0,0 +1,146 @@
+#include "core/load_view.h"
+
+#include <algorithm>
+
+namespace mimosacart {
+
+void LoadView::setOwners(const ServiceName &Service,
+                         std::vector<OwnerShare> Owners) {
+  std::vector<Belief> Next;
+  for (const OwnerShare &Share : Owners) {
+    const Belief *Known = find(Service, Share.Host);
+    if (Known != nullptr && Known->Share == Share) {
+      Next.push_back(*Known);
+      continue;
+    }
+    ServiceLoad Idle;
+    Idle.Service = Service;
+    Idle.FreeSlots = Share.Slots;
+    Idle.UsableSlots = Share.Slots;
+    Next.push_back({Share, Idle});
+  }
+  Services[Service] = std::move(Next);
+  Shares[Service] = std::move(Owners);
+}
+
+void LoadView::removeService(const ServiceName &Service) {
+  Services.erase(Service);
+  Shares.erase(Service);
+}
+
+LoadView::Belief *LoadView::find(const ServiceName &Service,
+                                 const HostName &Host) {
+  const auto Found = Services.find(Service);
+  if (Found == Services.end())
+    return nullptr;
+  for (Belief &Known : Found->second)
+    if (Known.Share.Host == Host)
+      return &Known;
+  return nullptr;
+}
+
+void LoadView::update(const HostName &Host, const ServiceLoad &Load) {
+  Belief *Known = find(Load.Service, Host);
+  if (Known != nullptr)
+    Known->Load = Load;
+}
+
+void LoadView::noteForwarded(const HostName &Host, const ServiceName &Service) {
+  Belief *Known = find(Service, Host);
+  if (Known == nullptr)
+    return;
+  if (Known->Load.FreeSlots > 0)
+    --Known->Load.FreeSlots;
+  else
+    ++Known->Load.Queued;
+}
+
+void LoadView::noteTaken(const HostName &Host, const ServiceName &Service,
+                         std::uint32_t Count) {
+  Belief *Known = find(Service, Host);
+  if (Known != nullptr)
+    Known->Load.Queued -= std::min(Known->Load.Queued, Count);
+}
+
+std::optional<HostName> LoadView::withFreeSlot(const ServiceName &Service,
+                                               const HostName &Self) const {
+  const auto Found = Services.find(Service);
+  if (Found == Services.end())
+    return std::nullopt;
+  const Belief *Best = nullptr;
+  for (const Belief &Known : Found->second) {
+    if (Known.Share.Host == Self || Known.Load.FreeSlots == 0)
+      continue;
+    if (Best == nullptr || Known.Load.FreeSlots > Best->Load.FreeSlots)
+      Best = &Known;
+  }
+  if (Best == nullptr)
+    return std::nullopt;
+  return Best->Share.Host;
+}
+
+std::optional<HostName> LoadView::leastLoaded(const ServiceName &Service,
+                                              const HostName &Self) const {
+  const auto Found = Services.find(Service);
+  if (Found == Services.end())
+    return std::nullopt;
+  const auto Pressure = [](const Belief &Known) {
+    return (Known.Load.Queued + 1.0) / std::max(1U, Known.Load.UsableSlots);
+  };
+  const Belief *Best = nullptr;
+  for (const Belief &Known : Found->second) {
+    if (Known.Share.Host == Self)
+      continue;
+    if (Best == nullptr || Pressure(Known) < Pressure(*Best))
+      Best = &Known;
+  }
+  if (Best == nullptr)
+    return std::nullopt;
+  return Best->Share.Host;
+}
+
+std::optional<HostName> LoadView::withQueue(const ServiceName &Service,
+                                            const HostName &Self) const {
+  const auto Found = Services.find(Service);
+  if (Found == Services.end())
+    return std::nullopt;
+  const Belief *Best = nullptr;
+  for (const Belief &Known : Found->second) {
+    if (Known.Share.Host == Self || Known.Load.Queued == 0)
+      continue;
+    if (Best == nullptr || Known.Load.Queued > Best->Load.Queued)
+      Best = &Known;
+  }
+  if (Best == nullptr)
+    return std::nullopt;
+  return Best->Share.Host;
+}
+
+bool LoadView::hasUsable(const ServiceName &Service,
+                         const HostName &Self) const {
+  const auto Found = Services.find(Service);
+  if (Found == Services.end())
+    return false;
+  return std::any_of(
+      Found->second.begin(), Found->second.end(), [&Self](const Belief &Known) {
+        return Known.Share.Host != Self && Known.Load.UsableSlots > 0;
+      });
+}
+
+std::vector<HostName> LoadView::coOwners(const ServiceName &Service,
+                                         const HostName &Self) const {
+  std::vector<HostName> Result;
+  for (const OwnerShare &Share : owners(Service))
+    if (Share.Host != Self)
+      Result.push_back(Share.Host);
+  return Result;
+}
+
+const std::vector<OwnerShare> &
+LoadView::owners(const ServiceName &Service) const {
+  static const std::vector<OwnerShare> None;
+  const auto Found = Shares.find(Service);
+  return Found == Shares.end() ? None : Found->second;
+}
+
+} // namespace mimosacart
--- /dev/null
+++ b/core/node.cpp
@@ -0,0 +1,624 @@
+#include "core/node.h"
+
+#include "core/ownership.h"
+
+#include <algorithm>
+
+namespace mimosacart {
+
+namespace {
+
+/// A configuration that did not arrive is asked for again after this.
+constexpr Duration FetchInterval = std::chrono::milliseconds(500);
+/// A leaving server is asked this often whether it still is.
+constexpr Duration ProbeInterval = std::chrono::seconds(1);
+/// A drain is held at least this long, however the server answers a probe.
+constexpr Duration MinDrainTime = std::chrono::seconds(3);
+/// A handover that was not confirmed is sent again after this.
+constexpr Duration HandoverInterval = std::chrono::milliseconds(500);
+/// Shares of callers' requests, in percent of all.
+constexpr unsigned WholeShare = 100;
+
+} // namespace
+
+Node::Node(Instant Start, NodeSettings Given)
+    : Settings(std::move(Given)), Self(Settings.Self.Host),
+      Life(Settings.Self.Life), Now(Start), Notices(Settings.Notices),
+      Members(Settings.Self, Settings.SeedAddresses, Settings.Membership,
+              Settings.RandomSeed, membershipHooks()),
+      Ledger(Self, Life, Start, Settings.Claims),
+      Local(Settings.Scheduling, schedulerHooks()),
+      Requests(Self, Life, Settings.Dispatching, Local, Loads,
+               dispatcherHooks()),
+      Desk(Self, Life, Ledger, Members, deskHooks()),
+      Reporter(Settings.LoadReports, reporterHooks()) {}
+
+Membership::Hooks Node::membershipHooks() {
+  Membership::Hooks Hooks;
+  Hooks.Send = [this](const std::string &Address, PeerBody Body) {
+    sendToAddress(Address, std::move(Body));
+  };
+  Hooks.Changed = [this](const MemberRecord &Record) {
+    onMemberChanged(Record);
+  };
+  Hooks.Extras = [this] { return PingExtras{stateDigest(), currentMark()}; };
+  return Hooks;
+}
+
+Scheduler::Hooks Node::schedulerHooks() {
+  Scheduler::Hooks Hooks;
+  Hooks.Start = [this](ServerCall Call) { act(CallServer{std::move(Call)}); };
+  Hooks.Cancel = [this](CallId Id) { act(CancelCall{Id}); };
+  Hooks.Finished = [this](const WorkItem &Item, AttemptResult Result) {
+    if (Item.Origin == Self && Item.OriginLife == Life) {
+      Requests.onAttemptResult(Now, Item.Attempt, std::move(Result));
+      return;
+    }
+    sendTo(Item.Origin,
+           AttemptAnswer{Item.OriginLife, Item.Attempt, std::move(Result),
+                         Local.load(Now, Item.Service)});
+  };
+  Hooks.LoadChanged = [this](const ServiceName &Service) {
+    Reporter.touch(Service);
+    Requests.onLocalLoadChanged(Now, Service);
+  };
+  Hooks.DrainSeen = [this](const ServerName &Server) {
+    markDrain(Server, true);
+  };
+  Hooks.CrashSeen = [this](const WorkItem &Item, const ServerName &Server) {
+    const std::uint64_t Fingerprint =
+        fingerprintOf(Item.Service.value(), Item.Kind.Name,
+                      Item.Request->Target, Item.Request->Body);
+    // Sequence numbers are never used twice by one incarnation.
+    const CrashNotice Notice = Notices.addCrash(Now, Fingerprint, Server,
+                                                Life.value() + ++LastSequence);
+    log("server_connection_broke", {{"server", Server.value()},
+                                    {"kind", Item.Kind.Name},
+                                    {"trace", Item.Request->TraceId}});
+    broadcast(SoftState{{}, {}, {Notice}, std::nullopt});
+  };
+  Hooks.HasAlternative = [this](const ServiceName &Service) {
+    return Loads.hasUsable(Service, Self);
+  };
+  return Hooks;
+}
+
+Dispatcher::Hooks Node::dispatcherHooks() {
+  Dispatcher::Hooks Hooks;
+  Hooks.Send = [this](const HostName &To, PeerBody Body) {
+    sendTo(To, std::move(Body));
+  };
+  Hooks.Finished = [this](const DispatchRequest &Request,
+                          DispatchResult Result) {
+    Desk.onDispatched(Now, Request, std::move(Result));
+  };
+  Hooks.CrashCount = [this](std::uint64_t Fingerprint) {
+    return Notices.crashCount(Now, Fingerprint);
+  };
+  Hooks.Placed = [this](const DispatchRequest &Request, AttemptId Id,
+                        const HostName &Host) {
+    act(RecordSpan{
+        {Request.Request->TraceId,
+         "place",
+         Now,
+         Now,
+         {{"attempt", std::to_string(Id.value())}, {"at", Host.value()}}}});
+  };
+  Hooks.Ended = [this](const DispatchRequest &Request, AttemptId Id,
+                       const AttemptResult &Result) {
+    const char *End = Result.End == AttemptEnd::Answered ? "answered"
+                      : Result.End == AttemptEnd::NotRun ? "not-run"
+                                                         : "failed";
+    act(RecordSpan{{Request.Request->TraceId,
+                    "attempt",
+                    Now - Result.ServiceTime,
+                    Now,
+                    {{"attempt", std::to_string(Id.value())},
+                     {"server", Result.Server.value()},
+                     {"end", End},
+                     {"reason", toString(Result.Why)}}}});
+  };
+  return Hooks;
+}
+
+CallerDesk::Hooks Node::deskHooks() {
+  CallerDesk::Hooks Hooks;
+  Hooks.Reply = [this](CallerReply Reply) {
+    act(ReplyToCaller{std::move(Reply)});
+  };
+  Hooks.Send = [this](const HostName &To, PeerBody Body) {
+    sendTo(To, std::move(Body));
+  };
+  Hooks.Dispatch = [this](Instant At, DispatchRequest Request) {
+    Requests.start(At, std::move(Request));
+  };
+  Hooks.Abandon = [this](Instant At, RequestId Id) {
+    Requests.abandon(At, Id);
+  };
+  Hooks.Trace = [this](Span Value) { act(RecordSpan{std::move(Value)}); };
+  return Hooks;
+}
+
+LoadReporter::Hooks Node::reporterHooks() {
+  LoadReporter::Hooks Hooks;
+  Hooks.Load = [this](const ServiceName &Service) {
+    return Local.load(Now, Service);
+  };
+  Hooks.Audience = [this](const ServiceName &Service) {
+    return Loads.coOwners(Service, Self);
+  };
+  Hooks.Send = [this](const HostName &To, PeerBody Body) {
+    sendTo(To, std::move(Body));
+  };
+  return Hooks;
+}
+
+void Node::log(std::string Name,
+               std::vector<std::pair<std::string, std::string>> Fields) {
+  act(LogEvent{std::move(Name), std::move(Fields)});
+}
+
+std::vector<Action> Node::takeActions() {
+  std::vector<Action> Taken;
+  Taken.swap(Actions);
+  return Taken;
+}
+
+void Node::sendTo(const HostName &Host, PeerBody Body) {
+  const MemberRecord *Found = Members.find(Host);
+  if (Found != nullptr && Host != Self)
+    sendToAddress(Found->PeerAddress, std::move(Body));
+}
+
+void Node::sendToAddress(const std::string &Address, PeerBody Body) {
+  act(SendToPeer{Address, {Self, Life, ++LastSequence, std::move(Body)}});
+}
+
+void Node::broadcast(const PeerBody &Body) {
+  for (const MemberRecord &Peer : Members.reachablePeers())
+    sendToAddress(Peer.PeerAddress, Body);
+}
+
+void Node::onTick(Instant At) {
+  Now = At;
+  Members.setEpoch(Ledger.currentToken(Now).Epoch);
+  Members.tick(Now);
+  if (OwnershipStale)
+    updateOwnership();
+  for (const ServerName &Server : Notices.expire(Now))
+    applyDrain(Server);
+  probeDrainingServers();
+  Local.tick(Now);
+  Requests.tick(Now);
+  Desk.tick(Now);
+  Ledger.expire(Now);
+  Reporter.flush(Now);
+  if (StopStartedAt)
+    advanceStop();
+}
+
+void Node::onCallerRequest(Instant At, RequestId Id, RequestPtr Request) {
+  Now = At;
+  Desk.onRequest(Now, Id, std::move(Request));
+}
+
+void Node::onCallerGone(Instant At, RequestId Id) {
+  Now = At;
+  Desk.onCallerGone(Now, Id);
+}
+
+void Node::onCallResult(Instant At, CallId Id, CallResult Result) {
+  Now = At;
+  Local.onCallResult(Now, Id, std::move(Result));
+}
+
+void Node::onPeerMessage(Instant At, const PeerMessage &Message) {
+  Now = At;
+  if (Message.From == Self)
+    return;
+  SenderState &Sender = Senders[Message.From];
+  if (Message.FromLife < Sender.Life) {
+    ++DroppedMessages;
+    return;
+  }
+  if (Message.FromLife > Sender.Life)
+    Sender = {Message.FromLife, {}};
+  if (!Sender.Window.accept(Message.Sequence)) {
+    ++DroppedMessages;
+    return;
+  }
+  std::visit([this, &Message](const auto &Body) { handle(Message.From, Body); },
+             Message.Body);
+}
+
+void Node::handle(const HostName &From, const Ping &Message) {
+  Members.onPing(Now, From, Message);
+  compareState(From, Message.StateDigest, Message.Mark);
+}
+
+void Node::handle(const HostName &From, const Ack &Message) {
+  Members.onAck(Now, Message);
+  if (From == Message.Self.Host)
+    compareState(From, Message.StateDigest, Message.Mark);
+}
+
+void Node::handle(const HostName &From, const PingRequest &Message) {
+  Members.onPingRequest(Now, From, Message);
+}
+
+void Node::handle(const HostName &From, const SoftState &Message) {
+  for (const MemberRecord &Record : Message.Members)
+    Members.merge(Now, Record);
+  for (const DrainNotice &Notice : Message.Drains)
+    if (Notices.mergeDrain(Now, Notice))
+      applyDrain(Notice.Server);
+  for (const CrashNotice &Notice : Message.Crashes)
+    Notices.mergeCrash(Now, Notice);
+  if (Message.Mark)
+    considerMark(*Message.Mark, From);
+}
+
+void Node::handle(const HostName &From, const LoadReport &Message) {
+  for (const ServiceLoad &Load : Message.Loads) {
+    Loads.update(From, Load);
+    Requests.onLocalLoadChanged(Now, Load.Service);
+  }
+}
+
+void Node::handle(const HostName & /*From*/, const ForwardedAttempt &Message) {
+  Requests.onForwarded(Now, Message, findKind(Message.Service, Message.Kind));
+}
+
+void Node::handle(const HostName &From, const AttemptAnswer &Message) {
+  if (Message.Load)
+    Loads.update(From, *Message.Load);
+  if (Message.OriginLife == Life)
+    Requests.onAttemptResult(Now, Message.Attempt, Message.Result);
+}
+
+void Node::handle(const HostName &From, const CancelForwarded &Message) {
+  Local.cancel(Now, {From, Message.OriginLife, Message.Attempt});
+}
+
+void Node::handle(const HostName &From, const WorkWanted &Message) {
+  Requests.onWorkWanted(Now, From, Message);
+}
+
+void Node::handle(const HostName &From, const ClaimCall &Message) {
+  Desk.onClaimCall(Now, From, Message);
+}
+
+void Node::handle(const HostName &From, const ClaimAnswer &Message) {
+  Desk.onClaimAnswer(Now, From, Message);
+}
+
+void Node::handle(const HostName &From, const Handover &Message) {
+  Ledger.adopt(Message);
+  log("claims_adopted", {{"from", Message.From.value()},
+                         {"claims", std::to_string(Message.Claims.size())}});
+  sendTo(From, HandoverAck{Message.Life});
+}
+
+void Node::handle(const HostName &From, const HandoverAck & /*Message*/) {
+  if (HandoverTo == From && HandoversOpen > 0)
+    --HandoversOpen;
+}
+
+void Node::handle(const HostName &From, const ConfigurationRequest &Message) {
+  if (Current && Current->Number == Message.Mark.Number &&
+      Current->Digest == Message.Mark.Digest)
+    sendTo(From, ConfigurationBytes{Message.Mark, Current->Bytes});
+}
+
+void Node::handle(const HostName & /*From*/,
+                  const ConfigurationBytes & /*Message*/) {
+  // The layer round the core checks the digest, parses the bytes and comes
+  // back with onConfiguration().
+}
+
+std::uint64_t Node::stateDigest() const {
+  return Members.digest() + Notices.digest();
+}
+
+std::optional<ConfigurationMark> Node::currentMark() const {
+  if (!Current)
+    return std::nullopt;
+  return ConfigurationMark{Current->Number, Current->Digest};
+}
+
+void Node::compareState(const HostName &From, std::uint64_t Digest,
+                        const std::optional<ConfigurationMark> &Mark) {
+  if (Mark)
+    considerMark(*Mark, From);
+  if (Digest == stateDigest())
+    return;
+  sendTo(From, SoftState{Members.shared(Now), Notices.drains(Now),
+                         Notices.crashes(Now), currentMark()});
+}
+
+void Node::onHeadSeen(Instant At, const ConfigurationMark &Mark) {
+  Now = At;
+  considerMark(Mark, std::nullopt);
+}
+
+void Node::considerMark(const ConfigurationMark &Mark,
+                        const std::optional<HostName> &ToldBy) {
+  if (Current && Mark.Number <= Current->Number)
+    return;
+  const bool AskedLately =
+      LastFetch && LastFetchMark == Mark && Now - *LastFetch < FetchInterval;
+  if (AskedLately)
+    return;
+  LastFetch = Now;
+  LastFetchMark = Mark;
+  act(FetchConfiguration{Mark});
+  if (ToldBy)
+    sendTo(*ToldBy, ConfigurationRequest{Mark});
+}
+
+void Node::onConfiguration(Instant At, ConfigurationPtr Arrived) {
+  Now = At;
+  // A generation never goes down within a process.
+  if (Current && Arrived->Number <= Current->Number)
+    return;
+  const ConfigurationPtr Earlier = Current;
+  Current = std::move(Arrived);
+  EarlierServers.clear();
+  HadConfiguration = Earlier != nullptr;
+  if (Earlier)
+    for (const Service &Subject : Earlier->Content.Services)
+      for (const BackendServer &Server : Subject.Servers)
+        EarlierServers.insert(Server.Name);
+  ServiceIndexes.clear();
+  for (std::size_t S = 0; S < Current->Content.Services.size(); ++S)
+    ServiceIndexes[Current->Content.Services[S].Name] = S;
+  Desk.setConfiguration(Current);
+  updateOwnership();
+  if (Earlier)
+    for (const Service &Subject : Earlier->Content.Services)
+      if (!ServiceIndexes.contains(Subject.Name)) {
+        Local.removeService(Now, Subject.Name);
+        Loads.removeService(Subject.Name);
+      }
+  log("configuration_in_force",
+      {{"generation", std::to_string(Current->Number.value())},
+       {"digest", Current->Digest},
+       {"services", std::to_string(Current->Content.Services.size())}});
+  broadcast(SoftState{{}, {}, {}, currentMark()});
+}
+
+void Node::onMemberChanged(const MemberRecord &Record) {
+  log("member_changed", {{"member", Record.Host.value()},
+                         {"status", toString(Record.Status)},
+                         {"leaving", Record.Leaving ? "true" : "false"}});
+  OwnershipStale = true;
+  broadcast(SoftState{{Record}, {}, {}, std::nullopt});
+  if (Record.Status > MemberStatus::Suspect && Record.Host != Self)
+    Requests.onHostGone(Now, Record.Host, Record.Life);
+}
+
+void Node::updateOwnership() {
+  OwnershipStale = false;
+  if (!Current)
+    return;
+  OwnershipHosts = Members.working();
+  for (const Service &Subject : Current->Content.Services)
+    assignService(Subject, OwnershipHosts);
+}
+
+void Node::assignService(const Service &Subject,
+                         const std::vector<MemberRecord> &Hosts) {
+  const std::vector<HostName> Owners = assignOwners(Subject, Hosts);
+  std::vector<OwnerShare> Shares;
+  std::vector<BackendServer> Owned;
+  for (std::size_t Index = 0; Index < Owners.size(); ++Index) {
+    const BackendServer &Server = Subject.Servers[Index];
+    const HostName &Owner = Owners[Index];
+    if (Owner == Self)
+      Owned.push_back(Server);
+    const auto Known =
+        std::find_if(Shares.begin(), Shares.end(),
+                     [&Owner](const OwnerShare &S) { return S.Host == Owner; });
+    if (Known == Shares.end())
+      Shares.push_back({Owner, Server.Slots});
+    else
+      Known->Slots += Server.Slots;
+  }
+  Loads.setOwners(Subject.Name, std::move(Shares));
+  const bool OwnedBefore = Local.owns(Subject.Name);
+  const auto IsNew = [this](const ServerName &Server) {
+    return HadConfiguration && !EarlierServers.contains(Server);
+  };
+  Local.assign(Now, Subject, Owned, IsNew);
+  for (const BackendServer &Server : Owned)
+    if (Notices.isDraining(Now, Server.Name))
+      Local.setDraining(Now, Server.Name, true);
+  if (OwnedBefore && Owned.empty())
+    Requests.onServiceLost(Now, Subject.Name);
+}
+
+void Node::onHostList(Instant At, const std::vector<std::string> &PeerAddresses,
+                      const std::vector<ServerName> &Leaving) {
+  Now = At;
+  std::vector<std::string> Seeds = Settings.SeedAddresses;
+  for (const std::string &Address : PeerAddresses)
+    if (std::find(Seeds.begin(), Seeds.end(), Address) == Seeds.end())
+      Seeds.push_back(Address);
+  Members.setSeeds(std::move(Seeds));
+  ListedAsLeaving = {Leaving.begin(), Leaving.end()};
+  for (const ServerName &Server : Leaving)
+    markDrain(Server, true);
+}
+
+void Node::markDrain(const ServerName &Server, bool Draining) {
+  if (!Notices.setDraining(Now, Server, Draining))
+    return;
+  log(Draining ? "server_draining" : "server_returned",
+      {{"server", Server.value()}});
+  applyDrain(Server);
+  for (const DrainNotice &Notice : Notices.drains(Now))
+    if (Notice.Server == Server)
+      broadcast(SoftState{{}, {Notice}, {}, std::nullopt});
+}
+
+void Node::applyDrain(const ServerName &Server) {
+  const bool Draining = Notices.isDraining(Now, Server);
+  if (Draining)
+    DrainedSince.emplace(Server, Now);
+  else
+    DrainedSince.erase(Server);
+  Local.setDraining(Now, Server, Draining);
+}
+
+void Node::probeDrainingServers() {
+  if (Now < NextProbe || !Current)
+    return;
+  NextProbe = Now + ProbeInterval;
+  for (const ServerView &View : Local.servers(Now)) {
+    if (View.State == ServerState::Draining)
+      act(ProbeServer{View.Server});
+  }
+}
+
+void Node::onProbeResult(Instant At, const ServerName &Server, bool Draining) {
+  Now = At;
+  if (Draining) {
+    markDrain(Server, true);
+    return;
+  }
+  const auto Since = DrainedSince.find(Server);
+  if (Since == DrainedSince.end() || Now - Since->second < MinDrainTime)
+    return;
+  if (!ListedAsLeaving.contains(Server))
+    markDrain(Server, false);
+}
+
+void Node::onStop(Instant At) {
+  Now = At;
+  if (StopStartedAt)
+    return;
+  StopStartedAt = Now;
+  log("stop_started", {});
+  Members.leave(Now);
+  updateOwnership();
+}
+
+std::optional<HostName> Node::chooseSuccessor() const {
+  const std::vector<MemberRecord> Hosts = Members.working();
+  const MemberRecord *Chosen = nullptr;
+  for (const MemberRecord &Host : Hosts) {
+    if (Host.Status != MemberStatus::Alive)
+      continue;
+    const bool Near = Host.DataCentre == Settings.Self.DataCentre;
+    if (Chosen == nullptr || Near)
+      Chosen = &Host;
+  }
+  if (Chosen == nullptr)
+    return std::nullopt;
+  return Chosen->Host;
+}
+
+/// A planned stop: serve until no caller can still hold an answer that names
+/// this host, finish what is open, hand the claims over, then say goodbye.
+void Node::advanceStop() {
+  if (Done)
+    return;
+  const Duration Elapsed = Now - *StopStartedAt;
+  const bool OutOfTime = Elapsed >= Settings.StopTimeout;
+  const bool CallersGone = Elapsed >= Settings.EntriesLifetime;
+  const bool Idle = Desk.pending() == 0 && Requests.openRequests() == 0 &&
+                    Local.runningCalls() == 0 && Local.queuedAttempts() == 0;
+  if (!OutOfTime && !(CallersGone && Idle))
+    return;
+  Desk.seal();
+  if (!HandoverTo || (HandoversOpen > 0 && Now >= NextHandoverTry)) {
+    HandoverTo = chooseSuccessor();
+    NextHandoverTry = Now + HandoverInterval;
+    const std::vector<Handover> All = Ledger.handovers(Now);
+    HandoversOpen = HandoverTo ? All.size() : 0;
+    for (const Handover &Part : All)
+      if (HandoverTo)
+        sendTo(*HandoverTo, Part);
+  }
+  if (HandoversOpen > 0 && !OutOfTime)
+    return;
+  Done = true;
+  const bool Handed = HandoverTo && HandoversOpen == 0;
+  log("stop_finished", {{"successor", Handed ? HandoverTo->value() : ""}});
+  Members.finish(Now, Handed ? *HandoverTo : HostName());
+  act(Stopped{});
+}
+
+EntriesAnswer Node::entries(Instant At) const {
+  EntriesAnswer Result;
+  Result.KeepFor = Settings.EntriesLifetime;
+  std::vector<MemberRecord> Hosts = Members.working();
+  std::erase_if(Hosts, [](const MemberRecord &Host) {
+    return Host.Status != MemberStatus::Alive;
+  });
+  // Better the host that answers than nobody.
+  if (Hosts.empty())
+    Hosts.push_back(Members.self());
+  std::stable_sort(Hosts.begin(), Hosts.end(),
+                   [this](const MemberRecord &Left, const MemberRecord &Right) {
+                     const std::string &Near = Settings.Self.DataCentre;
+                     return (Left.DataCentre == Near) >
+                            (Right.DataCentre == Near);
+                   });
+  const auto Count = static_cast<unsigned>(Hosts.size());
+  for (unsigned Index = 0; Index < Count; ++Index) {
+    const MemberRecord &Host = Hosts[Index];
+    EntryHost Entry;
+    Entry.Host = Host.Host;
+    Entry.Address = Host.CallerAddress;
+    Entry.DataCentre = Host.DataCentre;
+    Entry.Share = WholeShare / Count + (Index < WholeShare % Count ? 1 : 0);
+    Entry.Token = Host.Host == Self
+                      ? format(Ledger.currentToken(At))
+                      : format(IssuerToken{Host.Host, Host.Life, Host.Epoch});
+    Result.Hosts.push_back(std::move(Entry));
+  }
+  return Result;
+}
+
+std::vector<std::pair<ServerName, HostName>> Node::owners() const {
+  std::vector<std::pair<ServerName, HostName>> Result;
+  if (!Current)
+    return Result;
+  for (const Service &Subject : Current->Content.Services) {
+    const std::vector<HostName> Owners = assignOwners(Subject, OwnershipHosts);
+    for (std::size_t Index = 0; Index < Owners.size(); ++Index)
+      Result.emplace_back(Subject.Servers[Index].Name, Owners[Index]);
+  }
+  return Result;
+}
+
+NodeCounters Node::counters() const {
+  NodeCounters Result;
+  Result.Retries = Requests.retries();
+  Result.Hedges = Requests.hedges();
+  Result.Forwards = Requests.forwards();
+  Result.MessagesDropped = DroppedMessages;
+  Result.LoadReportBytes = Reporter.bytesSpent();
+  Result.LoadReportsDeferred = Reporter.deferred();
+  Result.OpenRequests = Desk.pending();
+  Result.QueuedAttempts = Local.queuedAttempts();
+  Result.RunningCalls = Local.runningCalls();
+  Result.Claims = Ledger.size();
+  Result.ClaimAnswerBytes = Ledger.answerBytes();
+  return Result;
+}
+
+const RequestKind *Node::findKind(const ServiceName &Service,
+                                  const std::string &Kind) const {
+  const auto Found = ServiceIndexes.find(Service);
+  if (Found == ServiceIndexes.end())
+    return nullptr;
+  for (const RequestKind &Known :
+       Current->Content.Services[Found->second].Kinds)
+    if (Known.Name == Kind)
+      return &Known;
+  return nullptr;
+}
+
+} // namespace mimosacart
--- /dev/null
+++ b/core/peer_messages.cpp
@@ -0,0 +1,41 @@
+#include "core/peer_messages.h"
+
+#include <array>
+
+namespace mimosacart {
+
+const char *toString(MemberStatus Value) {
+  switch (Value) {
+  case MemberStatus::Alive:
+    return "alive";
+  case MemberStatus::Suspect:
+    return "suspect";
+  case MemberStatus::Dead:
+    return "dead";
+  case MemberStatus::Left:
+    return "left";
+  }
+  return "dead";
+}
+
+const char *nameOf(const PeerBody &Body) {
+  static constexpr std::array<const char *, std::variant_size_v<PeerBody>>
+      Names = {"ping",
+               "ack",
+               "ping_request",
+               "soft_state",
+               "load_report",
+               "forwarded_attempt",
+               "attempt_answer",
+               "cancel_forwarded",
+               "work_wanted",
+               "claim_call",
+               "claim_answer",
+               "handover",
+               "handover_ack",
+               "configuration_request",
+               "configuration_bytes"};
+  return Names[Body.index()];
+}
+
+} // namespace mimosacart
--- /dev/null
+++ b/core/peer_messages.h
@@ -0,0 +1,228 @@
+/// \file
+/// Messages between entry hosts as typed values; `wire` gives them bytes.
+#pragma once
+
+#include "core/configuration.h"
+#include "core/ids.h"
+#include "core/request.h"
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace mimosacart {
+
+/// What the fleet believes of an entry host; greater values override lesser
+/// ones of the same incarnation and refutation.
+enum class MemberStatus : std::uint8_t { Alive, Suspect, Dead, Left };
+
+/// Word used for \p Value in logs and status pages.
+const char *toString(MemberStatus Value);
+
+/// One entry host as told by gossip.
+struct MemberRecord {
+  HostName Host;
+  Incarnation Life;
+  /// Raised by the host itself to deny a suspicion.
+  std::uint32_t Refutation = 0;
+  MemberStatus Status = MemberStatus::Alive;
+  /// Set by the host itself once a planned stop has begun.
+  bool Leaving = false;
+  std::string DataCentre;
+  std::string PeerAddress;
+  std::string CallerAddress;
+  /// The host's latest known token epoch; it only grows within a life.
+  std::uint64_t Epoch = 0;
+  /// Host that took over the claims of a host that left.
+  HostName Successor;
+  /// Time since a departed host's status was set; zero for the others.
+  Duration Age{};
+
+  friend bool operator==(const MemberRecord &, const MemberRecord &) = default;
+};
+
+/// Whether a backend server is leaving, and how long to believe it. The
+/// greater version of two notices about one server holds.
+struct DrainNotice {
+  ServerName Server;
+  std::uint64_t Version = 0;
+  bool Draining = false;
+  Duration Remaining{};
+
+  friend bool operator==(const DrainNotice &, const DrainNotice &) = default;
+};
+
+/// A server connection that broke while it ran the fingerprinted request.
+struct CrashNotice {
+  std::uint64_t Fingerprint = 0;
+  ServerName Server;
+  /// Distinguishes two crashes of the same server.
+  std::uint64_t EventId = 0;
+  Duration Remaining{};
+
+  friend bool operator==(const CrashNotice &, const CrashNotice &) = default;
+};
+
+/// Asks whether the receiver is alive; carries the sender's own record.
+struct Ping {
+  std::uint64_t Sequence = 0;
+  MemberRecord Self;
+  /// Digest of the sender's soft state; a difference asks for a SoftState.
+  std::uint64_t StateDigest = 0;
+  std::optional<ConfigurationMark> Mark;
+};
+
+/// Answers a Ping; `Sequence` is the ping's.
+struct Ack {
+  std::uint64_t Sequence = 0;
+  MemberRecord Self;
+  std::uint64_t StateDigest = 0;
+  std::optional<ConfigurationMark> Mark;
+};
+
+/// Asks the receiver to ping \p Target on the sender's behalf.
+struct PingRequest {
+  std::uint64_t Sequence = 0;
+  HostName Target;
+};
+
+/// Soft state: all of it when digests differ, or just what changed.
+struct SoftState {
+  std::vector<MemberRecord> Members;
+  std::vector<DrainNotice> Drains;
+  std::vector<CrashNotice> Crashes;
+  std::optional<ConfigurationMark> Mark;
+};
+
+/// How much one host can take for one service.
+struct ServiceLoad {
+  ServiceName Service;
+  std::uint32_t FreeSlots = 0;
+  /// Slots of servers that are neither draining nor ejected.
+  std::uint32_t UsableSlots = 0;
+  std::uint32_t Queued = 0;
+
+  friend bool operator==(const ServiceLoad &, const ServiceLoad &) = default;
+};
+
+/// Loads of the services that the sender owns servers of.
+struct LoadReport {
+  std::vector<ServiceLoad> Loads;
+};
+
+/// One attempt that the receiver is to run on a server that it owns.
+struct ForwardedAttempt {
+  HostName Origin;
+  Incarnation OriginLife;
+  AttemptId Attempt;
+  ServiceName Service;
+  std::string Kind;
+  RequestPtr Request;
+  Duration Remaining{};
+  /// Moves between hosts so far.
+  std::uint32_t Hops = 0;
+  /// Server of an earlier attempt, to be passed over if another is free.
+  ServerName Avoid;
+};
+
+/// How an attempt ended.
+enum class AttemptEnd : std::uint8_t { Answered, NotRun, Failed };
+
+/// Result of an attempt, sent straight to its origin.
+struct AttemptResult {
+  AttemptEnd End = AttemptEnd::Failed;
+  AnswerPtr Reply;
+  Reason Why = Reason::None;
+  ServerName Server;
+  /// Time between the call to the server and its end.
+  Duration ServiceTime{};
+};
+
+/// Carries an AttemptResult to the origin's incarnation.
+struct AttemptAnswer {
+  Incarnation OriginLife;
+  AttemptId Attempt;
+  AttemptResult Result;
+  std::optional<ServiceLoad> Load;
+};
+
+/// Withdraws an attempt that is still queued at the receiver.
+struct CancelForwarded {
+  Incarnation OriginLife;
+  AttemptId Attempt;
+};
+
+/// An idle owner asks for up to `Slots` queued attempts of the service.
+struct WorkWanted {
+  ServiceName Service;
+  std::uint32_t Slots = 0;
+};
+
+/// A non-idempotent request on its way to the host that issued its token.
+struct ClaimCall {
+  std::uint64_t Correlation = 0;
+  RequestPtr Request;
+  Duration Remaining{};
+};
+
+/// The issuer's answer to a ClaimCall.
+struct ClaimAnswer {
+  std::uint64_t Correlation = 0;
+  AnswerPtr Reply;
+};
+
+/// A settled claim as handed to a successor.
+struct HandedClaim {
+  std::uint64_t Epoch = 0;
+  std::string Key;
+  AnswerPtr Reply;
+
+  friend bool operator==(const HandedClaim &, const HandedClaim &) = default;
+};
+
+/// Claims of an incarnation that has stopped dispatching for good.
+struct Handover {
+  HostName From;
+  Incarnation Life;
+  std::uint64_t CurrentEpoch = 0;
+  std::uint64_t OldestEpoch = 0;
+  std::vector<HandedClaim> Claims;
+};
+
+/// Confirms that a Handover is stored.
+struct HandoverAck {
+  Incarnation Life;
+};
+
+/// Asks a peer for the bytes behind a mark.
+struct ConfigurationRequest {
+  ConfigurationMark Mark;
+};
+
+/// The bytes behind a mark; the receiver checks them against the digest.
+struct ConfigurationBytes {
+  ConfigurationMark Mark;
+  std::string Bytes;
+};
+
+using PeerBody =
+    std::variant<Ping, Ack, PingRequest, SoftState, LoadReport,
+                 ForwardedAttempt, AttemptAnswer, CancelForwarded, WorkWanted,
+                 ClaimCall, ClaimAnswer, Handover, HandoverAck,
+                 ConfigurationRequest, ConfigurationBytes>;
+
+/// One message with its sender.
+struct PeerMessage {
+  HostName From;
+  Incarnation FromLife;
+  /// Grows with every message of the sender's incarnation.
+  std::uint64_t Sequence = 0;
+  PeerBody Body;
+};
+
+/// Name of the message's type, for logs and metrics.
+const char *nameOf(const PeerBody &Body);
+
+} // namespace mimosacart
--- /dev/null
+++ b/core/work_queue.cpp
@@ -0,0 +1,74 @@
+#include "core/work_queue.h"
+
+#include <utility>
+
+namespace mimosacart {
+
+AttemptKey keyOf(const WorkItem &Item) {
+  return {Item.Origin, Item.OriginLife, Item.Attempt};
+}
+
+void WorkQueue::push(WorkItem Item) {
+  const Position Where{Item.Kind.Order, Item.ExpiresAt, ++Arrivals};
+  Positions[keyOf(Item)] = Where;
+  ++CountByPriority[static_cast<std::size_t>(Where.Order)];
+  Items.emplace(Where, std::move(Item));
+}
+
+WorkItem WorkQueue::takeAt(std::map<Position, WorkItem>::iterator Where) {
+  WorkItem Taken = std::move(Where->second);
+  --CountByPriority[static_cast<std::size_t>(Where->first.Order)];
+  Positions.erase(keyOf(Taken));
+  Items.erase(Where);
+  return Taken;
+}
+
+std::optional<WorkItem> WorkQueue::pop() {
+  if (Items.empty())
+    return std::nullopt;
+  return takeAt(Items.begin());
+}
+
+std::optional<WorkItem> WorkQueue::popLast() {
+  if (Items.empty())
+    return std::nullopt;
+  return takeAt(std::prev(Items.end()));
+}
+
+std::optional<WorkItem> WorkQueue::remove(const AttemptKey &Key) {
+  const auto Found = Positions.find(Key);
+  if (Found == Positions.end())
+    return std::nullopt;
+  return takeAt(Items.find(Found->second));
+}
+
+std::vector<WorkItem> WorkQueue::removeExpired(Instant Now) {
+  std::vector<WorkItem> Expired;
+  for (const Priority Order :
+       {Priority::High, Priority::Normal, Priority::Low}) {
+    // Within one priority the earliest deadline comes first.
+    auto Next = Items.lower_bound({Order, Instant::min(), 0});
+    while (Next != Items.end() && Next->first.Order == Order &&
+           Next->first.ExpiresAt <= Now)
+      Expired.push_back(takeAt(Next++));
+  }
+  return Expired;
+}
+
+std::size_t WorkQueue::countBefore(Priority Order, Instant ExpiresAt) const {
+  std::size_t Count = 0;
+  for (std::size_t Index = 0; Index < static_cast<std::size_t>(Order); ++Index)
+    Count += CountByPriority[Index];
+  auto Next = Items.lower_bound({Order, Instant::min(), 0});
+  const auto End = Items.lower_bound({Order, ExpiresAt, 0});
+  Count += static_cast<std::size_t>(std::distance(Next, End));
+  return Count;
+}
+
+std::optional<Priority> WorkQueue::lastPriority() const {
+  if (Items.empty())
+    return std::nullopt;
+  return std::prev(Items.end())->first.Order;
+}
+
+} // namespace mimosacart
--- /dev/null
+++ b/ctl/main.cpp
@@ -0,0 +1,94 @@
+/// \file
+/// `mimosacartctl`: the operators' tool.
+#include "ctl/verbs.h"
+
+#include <fmt/format.h>
+#include <gflags/gflags.h>
+
+#include <fstream>
+#include <sstream>
+
+DEFINE_string(settings, "", "TOML file with the platform and the hosts");
+DEFINE_string(output, "table", "table or json");
+DEFINE_int64(expect_generation, -1,
+             "apply only if this generation is in force; 0 for none yet");
+DEFINE_int32(wait_ms, 10'000, "how long apply waits until it is in force");
+
+namespace {
+
+using namespace mimosacart;
+
+constexpr const char *Usage =
+    "steers and inspects a fleet of entry hosts\n"
+    "  mimosacartctl validate FILE               check a declarative file\n"
+    "  mimosacartctl --settings S diff FILE      what applying it would "
+    "change\n"
+    "  mimosacartctl --settings S apply FILE     submit it; wait until in "
+    "force\n"
+    "  mimosacartctl --settings S status         hosts and backend servers\n"
+    "  mimosacartctl --settings S history        accepted files, latest first\n"
+    "  mimosacartctl --settings S explain TRACE  the way of one request\n"
+    "exit status: 0 done, 1 no answer, 2 bad input, 3 refused,\n"
+    "4 lost the race, 5 unknown whether accepted, 6 accepted but not in force";
+
+ExitStatus fail(const std::string &Message) {
+  fmt::print(stderr, "mimosacartctl: {}; see --help\n", Message);
+  return ExitStatus::BadInput;
+}
+
+ExitStatus run(int Argc, char **Argv) {
+  if (Argc < 2)
+    return fail("a verb is required");
+  const std::string Verb = Argv[1];
+  const std::string Argument = Argc > 2 ? Argv[2] : "";
+  const bool TakesArgument = Verb == "validate" || Verb == "diff" ||
+                             Verb == "apply" || Verb == "explain";
+  if (!TakesArgument && Verb != "status" && Verb != "history")
+    return fail(fmt::format("unknown verb \"{}\"", Verb));
+  if (TakesArgument != (Argc == 3))
+    return fail(fmt::format("{} takes {} argument", Verb,
+                            TakesArgument ? "one" : "no"));
+  if (FLAGS_output != "table" && FLAGS_output != "json")
+    return fail("--output is table or json");
+  if (Verb == "validate")
+    return runValidate(Argument);
+  if (FLAGS_settings.empty())
+    return fail(fmt::format("{} needs --settings FILE", Verb));
+  std::ifstream File(FLAGS_settings, std::ios::binary);
+  if (!File)
+    return fail(fmt::format("{}: the file cannot be read", FLAGS_settings));
+  std::ostringstream Text;
+  Text << File.rdbuf();
+  const auto Settings = parseOperatorSettings(Text.str(), FLAGS_settings);
+  if (Settings.has_error()) {
+    for (const FieldError &Error : Settings.error())
+      fmt::print(stderr, "{}\n", format(Error));
+    return ExitStatus::BadInput;
+  }
+  VerbOptions Options;
+  Options.Format =
+      FLAGS_output == "json" ? OutputFormat::Json : OutputFormat::Table;
+  Options.Wait = std::chrono::milliseconds(FLAGS_wait_ms);
+  if (FLAGS_expect_generation >= 0)
+    Options.ExpectedGeneration =
+        Generation(static_cast<std::uint64_t>(FLAGS_expect_generation));
+  OperatorClient Client(Settings.value());
+  if (Verb == "diff")
+    return runDiff(Client, Argument);
+  if (Verb == "apply")
+    return runApply(Client, Argument, Options);
+  if (Verb == "status")
+    return runStatus(Client, Options);
+  if (Verb == "history")
+    return runHistory(Client, Options);
+  return runExplain(Client, Argument, Options);
+}
+
+} // namespace
+
+int main(int Argc, char **Argv) {
+  gflags::SetVersionString(MIMOSACART_VERSION);
+  gflags::SetUsageMessage(Usage);
+  gflags::ParseCommandLineFlags(&Argc, &Argv, true);
+  return static_cast<int>(run(Argc, Argv));
+}
--- /dev/null
+++ b/daemon/admin_pages.cpp
@@ -0,0 +1,116 @@
+/// \file
+/// The admin address of an entry host: health, metrics, status, explain.
+#include "daemon/entry_host_process.h"
+
+#include <nlohmann/json.hpp>
+
+namespace mimosacart {
+
+namespace {
+
+using Json = nlohmann::json;
+
+constexpr unsigned StatusOk = 200;
+constexpr unsigned StatusNotFound = 404;
+constexpr unsigned StatusUnavailable = 503;
+constexpr std::string_view ExplainPrefix = "/v1/explain/";
+
+HttpResponse jsonPage(const Json &Value) {
+  return {StatusOk, {{"Content-Type", "application/json"}}, Value.dump()};
+}
+
+HttpResponse textPage(unsigned Status, std::string Text) {
+  return {
+      Status, {{"Content-Type", "text/plain; version=0.0.4"}}, std::move(Text)};
+}
+
+Json toJson(const MemberRecord &Member) {
+  return {
+      {"host", Member.Host.value()},     {"status", toString(Member.Status)},
+      {"leaving", Member.Leaving},       {"data_centre", Member.DataCentre},
+      {"callers", Member.CallerAddress}, {"incarnation", Member.Life.value()}};
+}
+
+Json toJson(const ServerView &View) {
+  return {{"server", View.Server.Name.value()},
+          {"address", View.Server.Address},
+          {"state", toString(View.State)},
+          {"in_flight", View.InFlight},
+          {"limit", View.Limit},
+          {"slots", View.Server.Slots},
+          {"mean_ms", toMilliseconds(View.MeanServiceTime)},
+          {"calls", View.Calls}};
+}
+
+} // namespace
+
+void EntryHostProcess::onAdminRequest(const HttpRequest &Request,
+                                      HttpExchange &Exchange) {
+  const std::string &Target = Request.Target;
+  if (Target == "/health/live") {
+    Exchange.respond(textPage(StatusOk, "live\n"));
+    return;
+  }
+  if (Target == "/health/ready") {
+    const bool Ready = Core.ready();
+    const char *Word = Core.stopping() ? "draining\n" : "no configuration\n";
+    Exchange.respond(textPage(Ready ? StatusOk : StatusUnavailable,
+                              Ready ? "ready\n" : Word));
+    return;
+  }
+  if (Target == "/metrics") {
+    Exchange.respond(
+        textPage(StatusOk, Counted.render(Core.counters(), Peers.counters(),
+                                          Callers.connections())));
+    return;
+  }
+  if (Target == "/v1/status") {
+    Exchange.respond(statusPage());
+    return;
+  }
+  if (Target.rfind(ExplainPrefix, 0) == 0) {
+    Exchange.respond(explainPage(Target.substr(ExplainPrefix.size())));
+    return;
+  }
+  Exchange.respond(textPage(StatusNotFound, "no such page\n"));
+}
+
+HttpResponse EntryHostProcess::statusPage() const {
+  const ConfigurationPtr Current = Core.configuration();
+  Json Members = Json::array();
+  for (const MemberRecord &Member : Core.members().all())
+    Members.push_back(toJson(Member));
+  Json Owned = Json::array();
+  for (const ServerView &View : Core.servers(now()))
+    Owned.push_back(toJson(View));
+  const NodeCounters Counters = Core.counters();
+  return jsonPage({{"host", Settings.Name.value()},
+                   {"data_centre", Settings.DataCentre},
+                   {"ready", Core.ready()},
+                   {"stopping", Core.stopping()},
+                   {"generation", Current ? Current->Number.value() : 0},
+                   {"digest", Current ? Current->Digest : ""},
+                   {"members", Members},
+                   {"servers", Owned},
+                   {"open_requests", Counters.OpenRequests},
+                   {"queued", Counters.QueuedAttempts},
+                   {"running", Counters.RunningCalls},
+                   {"claims", Counters.Claims}});
+}
+
+HttpResponse EntryHostProcess::explainPage(const std::string &TraceId) const {
+  Json Steps = Json::array();
+  const Instant Now = now();
+  for (const Span &Each : Traces.find(TraceId)) {
+    Json Fields = Json::object();
+    for (const auto &[Key, Value] : Each.Fields)
+      Fields[Key] = Value;
+    Steps.push_back({{"name", Each.Name},
+                     {"age_ms", toMilliseconds(Now - Each.Start)},
+                     {"duration_ms", toMilliseconds(Each.End - Each.Start)},
+                     {"fields", Fields}});
+  }
+  return jsonPage({{"host", Settings.Name.value()}, {"spans", Steps}});
+}
+
+} // namespace mimosacart
--- /dev/null
+++ b/net/http_client.cpp
@@ -0,0 +1,235 @@
+#include "net/http_client.h"
+
+#include "net/asio.h"
+
+#include <deque>
+#include <unordered_map>
+
+namespace mimosacart {
+
+namespace {
+
+constexpr unsigned HttpVersion11 = 11;
+/// Idle connections kept for one address.
+constexpr std::size_t MaxIdleConnections = 64;
+
+struct IdleConnection {
+  std::unique_ptr<beast::tcp_stream> Stream;
+  std::chrono::steady_clock::time_point Since;
+};
+
+} // namespace
+
+class HttpClient::Impl {
+public:
+  Impl(asio::io_context &Context, std::size_t MaxBodyBytes)
+      : Context(Context), MaxBodyBytes(MaxBodyBytes) {}
+
+  /// The connection that was used last, if it was not idle for too long.
+  std::unique_ptr<beast::tcp_stream> take(const std::string &Address,
+                                          Duration MaxIdle);
+  void keep(const std::string &Address,
+            std::unique_ptr<beast::tcp_stream> Stream);
+
+  asio::io_context &Context;
+  const std::size_t MaxBodyBytes;
+  std::unordered_map<std::string, std::deque<IdleConnection>> Idle;
+};
+
+std::unique_ptr<beast::tcp_stream>
+HttpClient::Impl::take(const std::string &Address, Duration MaxIdle) {
+  std::deque<IdleConnection> &Pool = Idle[Address];
+  const auto Now = std::chrono::steady_clock::now();
+  while (!Pool.empty()) {
+    IdleConnection Last = std::move(Pool.back());
+    Pool.pop_back();
+    if (Now - Last.Since > MaxIdle) {
+      // The others have been idle for longer still.
+      Pool.clear();
+      return nullptr;
+    }
+    // A connection that the server closed or wrote to is of no use.
+    char Byte = 0;
+    beast::error_code Error;
+    Last.Stream->socket().non_blocking(true, Error);
+    Last.Stream->socket().receive(asio::buffer(&Byte, 1),
+                                  tcp::socket::message_peek, Error);
+    if (Error == asio::error::would_block)
+      return std::move(Last.Stream);
+  }
+  return nullptr;
+}
+
+void HttpClient::Impl::keep(const std::string &Address,
+                            std::unique_ptr<beast::tcp_stream> Stream) {
+  std::deque<IdleConnection> &Pool = Idle[Address];
+  Pool.push_back({std::move(Stream), std::chrono::steady_clock::now()});
+  if (Pool.size() > MaxIdleConnections)
+    Pool.pop_front();
+}
+
+namespace {
+
+/// One call; keeps itself alive until its result is told.
+class ClientCall : public HttpCallHandle,
+                   public std::enable_shared_from_this<ClientCall> {
+public:
+  ClientCall(std::weak_ptr<HttpClient::Impl> Client, HttpCall Call,
+             HttpClient::DoneHook Done)
+      : Client(std::move(Client)), Call(std::move(Call)),
+        Done(std::move(Done)) {}
+
+  void start();
+  void cancel() override;
+
+private:
+  void connect(HttpClient::Impl &Pool);
+  void write();
+  void read();
+  void onRead(const beast::error_code &Error);
+  void finish(HttpResult Result);
+  void fail(const beast::error_code &Error, NetError Otherwise);
+
+  std::weak_ptr<HttpClient::Impl> Client;
+  HttpCall Call;
+  HttpClient::DoneHook Done;
+  std::unique_ptr<beast::tcp_stream> Stream;
+  http::request<http::string_body> Outgoing;
+  beast::flat_buffer Buffer;
+  std::optional<http::response_parser<http::string_body>> Parser;
+};
+
+void ClientCall::start() {
+  const auto Pool = Client.lock();
+  if (Call.MaxIdle > Duration::zero())
+    Stream = Pool->take(Call.Address, Call.MaxIdle);
+  if (Stream) {
+    Stream->expires_after(Call.Timeout);
+    write();
+    return;
+  }
+  connect(*Pool);
+}
+
+void ClientCall::connect(HttpClient::Impl &Pool) {
+  const auto Endpoint = parseEndpoint(Call.Address);
+  Stream = std::make_unique<beast::tcp_stream>(Pool.Context);
+  if (!Endpoint) {
+    asio::post(Pool.Context, [Self = shared_from_this()] {
+      Self->finish(make_error_code(NetError::BadAddress));
+    });
+    return;
+  }
+  Stream->expires_after(Call.Timeout);
+  Stream->async_connect(
+      *Endpoint, [Self = shared_from_this()](beast::error_code Error) {
+        if (!Self->Done)
+          return;
+        if (Error) {
+          Self->finish(make_error_code(NetError::ConnectFailed));
+          return;
+        }
+        beast::error_code Ignored;
+        Self->Stream->socket().set_option(tcp::no_delay(true), Ignored);
+        Self->write();
+      });
+}
+
+void ClientCall::write() {
+  Outgoing.version(HttpVersion11);
+  Outgoing.method_string(Call.Request.Method);
+  Outgoing.target(Call.Request.Target);
+  insertFields(Call.Request.Headers, Outgoing);
+  Outgoing.set(http::field::host, Call.Address);
+  Outgoing.body() = std::move(Call.Request.Body);
+  Outgoing.keep_alive(true);
+  Outgoing.prepare_payload();
+  http::async_write(*Stream, Outgoing,
+                    [Self = shared_from_this()](beast::error_code Error,
+                                                std::size_t /*Bytes*/) {
+                      if (!Self->Done)
+                        return;
+                      if (Error) {
+                        Self->fail(Error, NetError::Broken);
+                        return;
+                      }
+                      Self->read();
+                    });
+}
+
+void ClientCall::read() {
+  const auto Pool = Client.lock();
+  if (!Pool)
+    return;
+  Parser.emplace();
+  Parser->body_limit(Pool->MaxBodyBytes);
+  if (Outgoing.method() == http::verb::head)
+    Parser->skip(true);
+  http::async_read(*Stream, Buffer, *Parser,
+                   [Self = shared_from_this()](beast::error_code Error,
+                                               std::size_t /*Bytes*/) {
+                     if (Self->Done)
+                       Self->onRead(Error);
+                   });
+}
+
+void ClientCall::onRead(const beast::error_code &Error) {
+  if (Error) {
+    fail(Error, NetError::Broken);
+    return;
+  }
+  auto Message = Parser->release();
+  // An answer that ends with its connection could be cut short unnoticed.
+  const bool EndsWithConnection =
+      Message.need_eof() && Outgoing.method() != http::verb::head;
+  if (EndsWithConnection) {
+    finish(make_error_code(NetError::Malformed));
+    return;
+  }
+  const auto Pool = Client.lock();
+  // Bytes after the answer belong to no call of ours.
+  const bool Reusable = Message.keep_alive() && Buffer.size() == 0 && Pool;
+  if (Reusable) {
+    Stream->expires_never();
+    Pool->keep(Call.Address, std::move(Stream));
+  }
+  finish(HttpResponse{Message.result_int(), copyFields(Message),
+                      std::move(Message.body())});
+}
+
+void ClientCall::fail(const beast::error_code &Error, NetError Otherwise) {
+  const bool TimedOut = Error == beast::error::timeout;
+  finish(make_error_code(TimedOut ? NetError::TimedOut : Otherwise));
+}
+
+void ClientCall::finish(HttpResult Result) {
+  if (!Done)
+    return;
+  const HttpClient::DoneHook Hook = std::move(Done);
+  Done = nullptr;
+  if (Stream && Result.has_error())
+    Stream->close();
+  Hook(std::move(Result));
+}
+
+void ClientCall::cancel() {
+  Done = nullptr;
+  if (Stream)
+    Stream->close();
+}
+
+} // namespace
+
+HttpClient::HttpClient(asio::io_context &Context, std::size_t MaxBodyBytes)
+    : Shared(std::make_shared<Impl>(Context, MaxBodyBytes)) {}
+
+HttpClient::~HttpClient() = default;
+
+std::shared_ptr<HttpCallHandle> HttpClient::call(HttpCall Call, DoneHook Done) {
+  auto Started =
+      std::make_shared<ClientCall>(Shared, std::move(Call), std::move(Done));
+  Started->start();
+  return Started;
+}
+
+} // namespace mimosacart
--- /dev/null
+++ b/net/http_server.cpp
@@ -0,0 +1,312 @@
+#include "net/http_server.h"
+
+#include "net/asio.h"
+
+#include <list>
+#include <unordered_map>
+#include <unordered_set>
+
+namespace mimosacart {
+
+namespace {
+
+constexpr unsigned HttpVersion11 = 11;
+
+NetError translate(const beast::error_code &Error) {
+  if (Error == http::error::header_limit)
+    return NetError::HeaderTooLarge;
+  if (Error == http::error::body_limit)
+    return NetError::BodyTooLarge;
+  if (Error == beast::error::timeout)
+    return NetError::TimedOut;
+  return NetError::Malformed;
+}
+
+/// Whether the other end simply closed between two requests.
+bool isQuietEnd(const beast::error_code &Error) {
+  return Error == http::error::end_of_stream ||
+         Error == asio::error::operation_aborted ||
+         Error == asio::error::connection_reset || Error == asio::error::eof;
+}
+
+class Session;
+
+} // namespace
+
+class HttpServer::Impl : public std::enable_shared_from_this<Impl> {
+public:
+  Impl(asio::io_context &Context, HttpServerLimits Limits, Handler Handle,
+       RefusalHook Refuse)
+      : Context(Context), Acceptor(Context), Limits(Limits),
+        Handle(std::move(Handle)), Refuse(std::move(Refuse)) {}
+
+  boost::outcome_v2::result<void, std::error_code>
+  listen(const std::string &Address);
+  void stop();
+  void accept();
+
+  asio::io_context &Context;
+  tcp::acceptor Acceptor;
+  const HttpServerLimits Limits;
+  const Handler Handle;
+  const RefusalHook Refuse;
+  bool Stopping = false;
+  std::unordered_map<std::string, std::size_t> ConnectionsByAddress;
+  std::unordered_set<Session *> Sessions;
+};
+
+namespace {
+
+/// One connection; keeps itself alive while an operation is outstanding.
+class Session : public HttpExchange,
+                public std::enable_shared_from_this<Session> {
+public:
+  Session(std::shared_ptr<HttpServer::Impl> Server, tcp::socket Socket,
+          std::string RemoteAddress);
+  ~Session() override;
+  Session(const Session &) = delete;
+  Session &operator=(const Session &) = delete;
+
+  void start() { waitForRequest(); }
+  void closeIfIdle();
+  void respond(HttpResponse Response) override;
+  void onGone(std::function<void()> Hook) override { Gone = std::move(Hook); }
+
+private:
+  void waitForRequest();
+  void readRequest();
+  void onRequest(const beast::error_code &Error);
+  void watchForClose();
+  void refuse(NetError Error);
+  void write(HttpResponse Response, bool KeepAlive);
+  void close();
+
+  std::shared_ptr<HttpServer::Impl> Server;
+  beast::tcp_stream Stream;
+  const std::string RemoteAddress;
+  beast::flat_buffer Buffer;
+  std::optional<http::request_parser<http::string_body>> Parser;
+  http::response<http::string_body> Outgoing;
+  std::function<void()> Gone;
+  bool Waiting = true;
+  bool AwaitingResponse = false;
+  bool KeepAlive = true;
+};
+
+Session::Session(std::shared_ptr<HttpServer::Impl> Owner, tcp::socket Socket,
+                 std::string RemoteAddress)
+    : Server(std::move(Owner)), Stream(std::move(Socket)),
+      RemoteAddress(std::move(RemoteAddress)) {
+  Server->Sessions.insert(this);
+  ++Server->ConnectionsByAddress[this->RemoteAddress];
+}
+
+Session::~Session() {
+  Server->Sessions.erase(this);
+  const auto Found = Server->ConnectionsByAddress.find(RemoteAddress);
+  if (--Found->second == 0)
+    Server->ConnectionsByAddress.erase(Found);
+}
+
+void Session::closeIfIdle() {
+  if (Waiting)
+    close();
+}
+
+void Session::waitForRequest() {
+  Waiting = true;
+  if (Server->Stopping) {
+    close();
+    return;
+  }
+  if (Buffer.size() > 0) {
+    readRequest();
+    return;
+  }
+  constexpr std::size_t FirstReadBytes = 4096;
+  Stream.expires_after(Server->Limits.IdleTimeout);
+  Stream.async_read_some(
+      Buffer.prepare(FirstReadBytes),
+      [Self = shared_from_this()](beast::error_code Error, std::size_t Bytes) {
+        if (Error) {
+          Self->close();
+          return;
+        }
+        Self->Buffer.commit(Bytes);
+        Self->readRequest();
+      });
+}
+
+void Session::readRequest() {
+  Waiting = false;
+  Parser.emplace();
+  Parser->header_limit(static_cast<std::uint32_t>(Server->Limits.HeaderBytes));
+  Parser->body_limit(Server->Limits.BodyBytes);
+  Stream.expires_after(Server->Limits.ReadTimeout);
+  http::async_read(Stream, Buffer, *Parser,
+                   [Self = shared_from_this()](beast::error_code Error,
+                                               std::size_t /*Bytes*/) {
+                     Self->onRequest(Error);
+                   });
+}
+
+void Session::onRequest(const beast::error_code &Error) {
+  if (Error && isQuietEnd(Error)) {
+    close();
+    return;
+  }
+  if (Error) {
+    refuse(translate(Error));
+    return;
+  }
+  const auto &Message = Parser->get();
+  // HTTP/1.1 allows one Host field only; several are a smuggling attempt.
+  if (Message.count(http::field::host) > 1) {
+    refuse(NetError::Malformed);
+    return;
+  }
+  KeepAlive = Message.keep_alive();
+  AwaitingResponse = true;
+  Stream.expires_never();
+  HttpRequest Request{std::string(Message.method_string()),
+                      std::string(Message.target()), copyFields(Message),
+                      Message.body(), RemoteAddress};
+  watchForClose();
+  Server->Handle(std::move(Request), shared_from_this());
+}
+
+void Session::watchForClose() {
+  Stream.socket().async_wait(
+      tcp::socket::wait_read,
+      [Weak = weak_from_this()](beast::error_code Error) {
+        const auto Self = Weak.lock();
+        if (!Self || Error || !Self->AwaitingResponse)
+          return;
+        char Byte = 0;
+        beast::error_code Failure;
+        const std::size_t Peeked = Self->Stream.socket().receive(
+            asio::buffer(&Byte, 1), tcp::socket::message_peek, Failure);
+        // More bytes are the next request, which waits for its turn.
+        if (Peeked > 0 && !Failure)
+          return;
+        Self->AwaitingResponse = false;
+        const std::function<void()> Hook = std::move(Self->Gone);
+        Self->Gone = nullptr;
+        Self->close();
+        if (Hook)
+          Hook();
+      });
+}
+
+void Session::respond(HttpResponse Response) {
+  if (!AwaitingResponse)
+    return;
+  AwaitingResponse = false;
+  Gone = nullptr;
+  write(std::move(Response), KeepAlive && !Server->Stopping);
+}
+
+void Session::refuse(NetError Error) { write(Server->Refuse(Error), false); }
+
+void Session::write(HttpResponse Response, bool StayOpen) {
+  const bool IsHead = Parser && Parser->is_header_done() &&
+                      Parser->get().method() == http::verb::head;
+  Outgoing = {};
+  Outgoing.version(HttpVersion11);
+  Outgoing.result(Response.Status);
+  insertFields(Response.Headers, Outgoing);
+  Outgoing.body() = std::move(Response.Body);
+  Outgoing.keep_alive(StayOpen);
+  Outgoing.prepare_payload();
+  if (IsHead)
+    Outgoing.body().clear();
+  Stream.expires_after(Server->Limits.ReadTimeout);
+  http::async_write(Stream, Outgoing,
+                    [Self = shared_from_this(),
+                     StayOpen](beast::error_code Error, std::size_t /*Bytes*/) {
+                      if (Error || !StayOpen) {
+                        Self->close();
+                        return;
+                      }
+                      Self->waitForRequest();
+                    });
+}
+
+void Session::close() {
+  beast::error_code Ignored;
+  Stream.socket().shutdown(tcp::socket::shutdown_send, Ignored);
+  Stream.close();
+}
+
+} // namespace
+
+boost::outcome_v2::result<void, std::error_code>
+HttpServer::Impl::listen(const std::string &Address) {
+  const auto Endpoint = parseEndpoint(Address);
+  if (!Endpoint)
+    return NetError::BadAddress;
+  beast::error_code Error;
+  Acceptor.open(Endpoint->protocol(), Error);
+  if (!Error)
+    Acceptor.set_option(asio::socket_base::reuse_address(true), Error);
+  if (!Error)
+    Acceptor.bind(*Endpoint, Error);
+  if (!Error)
+    Acceptor.listen(asio::socket_base::max_listen_connections, Error);
+  if (Error)
+    return NetError::BadAddress;
+  accept();
+  return boost::outcome_v2::success();
+}
+
+void HttpServer::Impl::accept() {
+  Acceptor.async_accept([Self = shared_from_this()](beast::error_code Error,
+                                                    tcp::socket Socket) {
+    if (Self->Stopping || Error == asio::error::operation_aborted)
+      return;
+    if (Error) {
+      Self->accept();
+      return;
+    }
+    beast::error_code Ignored;
+    Socket.set_option(tcp::no_delay(true), Ignored);
+    const auto Remote = Socket.remote_endpoint(Ignored);
+    const std::string Address =
+        Ignored ? std::string() : Remote.address().to_string();
+    const bool TooMany = Self->Sessions.size() >= Self->Limits.Connections ||
+                         Self->ConnectionsByAddress[Address] >=
+                             Self->Limits.ConnectionsPerAddress;
+    if (TooMany)
+      Socket.close(Ignored);
+    else
+      std::make_shared<Session>(Self, std::move(Socket), Address)->start();
+    Self->accept();
+  });
+}
+
+void HttpServer::Impl::stop() {
+  Stopping = true;
+  beast::error_code Ignored;
+  Acceptor.close(Ignored);
+  const std::unordered_set<Session *> Open = Sessions;
+  for (Session *Each : Open)
+    Each->closeIfIdle();
+}
+
+HttpServer::HttpServer(asio::io_context &Context, HttpServerLimits Limits,
+                       Handler Handle, RefusalHook Refuse)
+    : Shared(std::make_shared<Impl>(Context, Limits, std::move(Handle),
+                                    std::move(Refuse))) {}
+
+HttpServer::~HttpServer() { Shared->stop(); }
+
+boost::outcome_v2::result<void, std::error_code>
+HttpServer::listen(const std::string &Address) {
+  return Shared->listen(Address);
+}
+
+void HttpServer::stop() { Shared->stop(); }
+
+std::size_t HttpServer::connections() const { return Shared->Sessions.size(); }
+
+} // namespace mimosacart
--- /dev/null
+++ b/tests/settings/settings_test.cpp
@@ -0,0 +1,127 @@
+#include "settings/configuration_file.h"
+#include "settings/host_settings.h"
+
+#include <gtest/gtest.h>
+
+namespace mimosacart {
+namespace {
+
+constexpr const char *ValidHost = R"(
+[host]
+name = "bog-a-1"
+data_centre = "bog-a"
+[listen]
+callers = "127.0.0.1:1"
+peers = "127.0.0.1:2"
+admin = "127.0.0.1:3"
+[platform]
+address = "127.0.0.1:4"
+[peers]
+seeds = ["127.0.0.1:5", "[::1]:6"]
+)";
+
+std::vector<std::string> faults(const FieldErrors &Errors) {
+  std::vector<std::string> Lines;
+  for (const FieldError &Error : Errors)
+    Lines.push_back(format(Error));
+  return Lines;
+}
+
+TEST(HostSettingsTest, parse_valid_readsEveryField) {
+  const auto Read = parseHostSettings(ValidHost, "f");
+  ASSERT_TRUE(Read.has_value());
+  EXPECT_EQ(Read.value().Name.value(), "bog-a-1");
+  EXPECT_EQ(Read.value().SeedAddresses.size(), 2U);
+}
+
+TEST(HostSettingsTest, parse_manyFaults_reportsAllWithPlaceAndAllowedValues) {
+  const auto Read = parseHostSettings(R"([host]
+name = "bad name"
+data_centre = 7
+colour = "red"
+[listen]
+callers = "localhost:1"
+peers = "127.0.0.1:99999"
+admin = "127.0.0.1:3"
+[platform]
+address = "127.0.0.1:4"
+poll_ms = 1
+)",
+                                      "host.toml");
+  ASSERT_TRUE(Read.has_error());
+  const auto Lines = faults(Read.error());
+  ASSERT_EQ(Lines.size(), 6U);
+  EXPECT_EQ(Lines[0], "host.toml:2:8: host.name: found \"bad name\", expected "
+                      "up to 63 letters, digits, '-' and '_'");
+  EXPECT_EQ(Lines[1], "host.toml:3:15: host.data_centre: found an integer, "
+                      "expected a text");
+  EXPECT_EQ(Lines[2], "host.toml:4:1: host.colour: unknown key, expected one "
+                      "of data_centre, name");
+  EXPECT_EQ(Lines[5],
+            "host.toml:11:11: platform.poll_ms: found 1, expected 10 to "
+            "3600000");
+}
+
+TEST(HostSettingsTest, parse_syntaxError_reportsItsPlace) {
+  const auto Read = parseHostSettings("[host\n", "f");
+  ASSERT_TRUE(Read.has_error());
+  EXPECT_EQ(Read.error().size(), 1U);
+  EXPECT_EQ(Read.error()[0].Line, 1U);
+}
+
+constexpr const char *ValidFile = R"(
+[[service]]
+name = "records"
+[[service.kind]]
+name = "read"
+path = "/records/*"
+idempotent = true
+deadline_ms = 100
+[[service.server]]
+name = "s1"
+address = "127.0.0.1:1"
+data_centre = "a"
+slots = 2
+connections = 10
+)";
+
+TEST(ConfigurationFileTest, parse_valid_readsServersAndKinds) {
+  const auto Read = parseConfiguration(ValidFile, "f");
+  ASSERT_TRUE(Read.has_value());
+  EXPECT_EQ(Read.value().Services[0].Servers[0].Slots, 2U);
+  EXPECT_TRUE(Read.value().Services[0].Kinds[0].Idempotent);
+}
+
+TEST(ConfigurationFileTest, parse_retriesOfNonIdempotentKind_isRefused) {
+  std::string Text = ValidFile;
+  Text.replace(Text.find("idempotent = true"), 17,
+               "idempotent = false\nretries = 1\nhedge = true");
+  const auto Read = parseConfiguration(Text, "f");
+  ASSERT_TRUE(Read.has_error());
+  EXPECT_EQ(Read.error().size(), 2U);
+}
+
+TEST(ConfigurationFileTest, parse_namesAndRoutesTwice_isRefused) {
+  const std::string Text = std::string(ValidFile) + ValidFile;
+  const auto Read = parseConfiguration(Text, "f");
+  ASSERT_TRUE(Read.has_error());
+  // The service, the server, its address and the route.
+  EXPECT_EQ(Read.error().size(), 4U);
+}
+
+TEST(ConfigurationFileTest, parse_empty_isRefused) {
+  EXPECT_TRUE(parseConfiguration("", "f").has_error());
+}
+
+TEST(ConfigurationFileTest, describeChanges_serverMoved_namesIt) {
+  const auto Before = parseConfiguration(ValidFile, "f").value();
+  Configuration After = Before;
+  After.Services[0].Servers[0].Slots = 3;
+  After.Services[0].Kinds.clear();
+  EXPECT_EQ(describeChanges(Before, After),
+            (std::vector<std::string>{"change server records/s1",
+                                      "remove kind records/read"}));
+}
+
+} // namespace
+} // namespace mimosacart
--- /dev/null
+++ b/wire/peer_codec.cpp
@@ -0,0 +1,436 @@
+#include "wire/peer_codec.h"
+
+#include "wire/generated/peer.pb.h"
+
+namespace mimosacart {
+
+namespace {
+
+class WireCategory : public std::error_category {
+public:
+  const char *name() const noexcept override { return "wire"; }
+  std::string message(int Value) const override {
+    return Value == static_cast<int>(WireError::Malformed)
+               ? "not a message of the peer protocol"
+               : "a field of the message has an impossible value";
+  }
+};
+
+/// Thrown within this file only; decode() turns it into WireError::BadField.
+struct BadField {};
+
+template <typename Enum> Enum checkedEnum(std::uint32_t Value, Enum Last) {
+  if (Value > static_cast<std::uint32_t>(Last))
+    throw BadField();
+  return static_cast<Enum>(Value);
+}
+
+// --- Values shared by several messages -------------------------------------
+
+void write(const HeaderField &From, wire::Header &To) {
+  To.set_name(From.Name);
+  To.set_value(From.Value);
+}
+
+HeaderField read(const wire::Header &From) {
+  return {From.name(), From.value()};
+}
+
+void write(const CallerRequest &From, wire::Request &To) {
+  To.set_method(From.Method);
+  To.set_target(From.Target);
+  for (const HeaderField &Field : From.Headers)
+    write(Field, *To.add_headers());
+  To.set_body(From.Body);
+  if (From.Key)
+    To.set_key(*From.Key);
+  if (From.Token)
+    To.set_token(*From.Token);
+  if (From.Timeout)
+    To.set_timeout_us(From.Timeout->count());
+  if (From.AttemptsLeft)
+    To.set_attempts_left(*From.AttemptsLeft);
+  To.set_trace_id(From.TraceId);
+}
+
+RequestPtr read(const wire::Request &From) {
+  CallerRequest To;
+  To.Method = From.method();
+  To.Target = From.target();
+  for (const wire::Header &Field : From.headers())
+    To.Headers.push_back(read(Field));
+  To.Body = From.body();
+  if (From.has_key())
+    To.Key = From.key();
+  if (From.has_token())
+    To.Token = From.token();
+  if (From.has_timeout_us())
+    To.Timeout = Duration(From.timeout_us());
+  if (From.has_attempts_left())
+    To.AttemptsLeft = From.attempts_left();
+  To.TraceId = From.trace_id();
+  return std::make_shared<const CallerRequest>(std::move(To));
+}
+
+void write(const Answer &From, wire::Answer &To) {
+  To.set_status(From.Status);
+  for (const HeaderField &Field : From.Headers)
+    write(Field, *To.add_headers());
+  To.set_body(From.Body);
+}
+
+AnswerPtr read(const wire::Answer &From) {
+  Answer To;
+  To.Status = From.status();
+  for (const wire::Header &Field : From.headers())
+    To.Headers.push_back(read(Field));
+  To.Body = From.body();
+  return std::make_shared<const Answer>(std::move(To));
+}
+
+void write(const MemberRecord &From, wire::Member &To) {
+  To.set_host(From.Host.value());
+  To.set_life(From.Life.value());
+  To.set_refutation(From.Refutation);
+  To.set_status(static_cast<std::uint32_t>(From.Status));
+  To.set_leaving(From.Leaving);
+  To.set_data_centre(From.DataCentre);
+  To.set_peer_address(From.PeerAddress);
+  To.set_caller_address(From.CallerAddress);
+  To.set_epoch(From.Epoch);
+  To.set_successor(From.Successor.value());
+  To.set_age_us(From.Age.count());
+}
+
+MemberRecord read(const wire::Member &From) {
+  MemberRecord To;
+  To.Host = HostName(From.host());
+  To.Life = Incarnation(From.life());
+  To.Refutation = From.refutation();
+  To.Status = checkedEnum(From.status(), MemberStatus::Left);
+  To.Leaving = From.leaving();
+  To.DataCentre = From.data_centre();
+  To.PeerAddress = From.peer_address();
+  To.CallerAddress = From.caller_address();
+  To.Epoch = From.epoch();
+  To.Successor = HostName(From.successor());
+  To.Age = Duration(From.age_us());
+  return To;
+}
+
+void write(const ConfigurationMark &From, wire::Mark &To) {
+  To.set_generation(From.Number.value());
+  To.set_digest(From.Digest);
+}
+
+ConfigurationMark read(const wire::Mark &From) {
+  return {Generation(From.generation()), From.digest()};
+}
+
+void write(const ServiceLoad &From, wire::ServiceLoad &To) {
+  To.set_service(From.Service.value());
+  To.set_free_slots(From.FreeSlots);
+  To.set_usable_slots(From.UsableSlots);
+  To.set_queued(From.Queued);
+}
+
+ServiceLoad read(const wire::ServiceLoad &From) {
+  return {ServiceName(From.service()), From.free_slots(), From.usable_slots(),
+          From.queued()};
+}
+
+// --- One pair of functions for each message --------------------------------
+
+/// Ping and Ack have the same fields.
+template <typename Probe> void writeProbe(const Probe &From, wire::Ping &To) {
+  To.set_sequence(From.Sequence);
+  write(From.Self, *To.mutable_self());
+  To.set_state_digest(From.StateDigest);
+  if (From.Mark)
+    write(*From.Mark, *To.mutable_mark());
+}
+
+template <typename Probe> Probe readProbe(const wire::Ping &From) {
+  Probe To;
+  To.Sequence = From.sequence();
+  To.Self = read(From.self());
+  To.StateDigest = From.state_digest();
+  if (From.has_mark())
+    To.Mark = read(From.mark());
+  return To;
+}
+
+void write(const Ping &From, wire::Envelope &To) {
+  writeProbe(From, *To.mutable_ping());
+}
+
+void write(const Ack &From, wire::Envelope &To) {
+  writeProbe(From, *To.mutable_ack());
+}
+
+void write(const PingRequest &From, wire::Envelope &To) {
+  To.mutable_ping_request()->set_sequence(From.Sequence);
+  To.mutable_ping_request()->set_target(From.Target.value());
+}
+
+void write(const SoftState &From, wire::Envelope &Envelope) {
+  wire::SoftState &To = *Envelope.mutable_soft_state();
+  for (const MemberRecord &Record : From.Members)
+    write(Record, *To.add_members());
+  for (const DrainNotice &Notice : From.Drains) {
+    wire::Drain &Drain = *To.add_drains();
+    Drain.set_server(Notice.Server.value());
+    Drain.set_version(Notice.Version);
+    Drain.set_draining(Notice.Draining);
+    Drain.set_remaining_us(Notice.Remaining.count());
+  }
+  for (const CrashNotice &Notice : From.Crashes) {
+    wire::Crash &Crash = *To.add_crashes();
+    Crash.set_fingerprint(Notice.Fingerprint);
+    Crash.set_server(Notice.Server.value());
+    Crash.set_event_id(Notice.EventId);
+    Crash.set_remaining_us(Notice.Remaining.count());
+  }
+  if (From.Mark)
+    write(*From.Mark, *To.mutable_mark());
+}
+
+SoftState read(const wire::SoftState &From) {
+  SoftState To;
+  for (const wire::Member &Record : From.members())
+    To.Members.push_back(read(Record));
+  for (const wire::Drain &Drain : From.drains())
+    To.Drains.push_back({ServerName(Drain.server()), Drain.version(),
+                         Drain.draining(), Duration(Drain.remaining_us())});
+  for (const wire::Crash &Crash : From.crashes())
+    To.Crashes.push_back({Crash.fingerprint(), ServerName(Crash.server()),
+                          Crash.event_id(), Duration(Crash.remaining_us())});
+  if (From.has_mark())
+    To.Mark = read(From.mark());
+  return To;
+}
+
+void write(const LoadReport &From, wire::Envelope &To) {
+  wire::LoadReport &Report = *To.mutable_load_report();
+  for (const ServiceLoad &Load : From.Loads)
+    write(Load, *Report.add_loads());
+}
+
+LoadReport read(const wire::LoadReport &From) {
+  LoadReport To;
+  for (const wire::ServiceLoad &Load : From.loads())
+    To.Loads.push_back(read(Load));
+  return To;
+}
+
+void write(const ForwardedAttempt &From, wire::Envelope &Envelope) {
+  wire::ForwardedAttempt &To = *Envelope.mutable_forwarded_attempt();
+  To.set_origin(From.Origin.value());
+  To.set_origin_life(From.OriginLife.value());
+  To.set_attempt(From.Attempt.value());
+  To.set_service(From.Service.value());
+  To.set_kind(From.Kind);
+  write(*From.Request, *To.mutable_request());
+  To.set_remaining_us(From.Remaining.count());
+  To.set_hops(From.Hops);
+  To.set_avoid(From.Avoid.value());
+}
+
+ForwardedAttempt read(const wire::ForwardedAttempt &From) {
+  ForwardedAttempt To;
+  To.Origin = HostName(From.origin());
+  To.OriginLife = Incarnation(From.origin_life());
+  To.Attempt = AttemptId(From.attempt());
+  To.Service = ServiceName(From.service());
+  To.Kind = From.kind();
+  To.Request = read(From.request());
+  To.Remaining = Duration(From.remaining_us());
+  To.Hops = From.hops();
+  To.Avoid = ServerName(From.avoid());
+  return To;
+}
+
+void write(const AttemptAnswer &From, wire::Envelope &Envelope) {
+  wire::AttemptAnswer &To = *Envelope.mutable_attempt_answer();
+  To.set_origin_life(From.OriginLife.value());
+  To.set_attempt(From.Attempt.value());
+  To.set_end(static_cast<std::uint32_t>(From.Result.End));
+  if (From.Result.Reply)
+    write(*From.Result.Reply, *To.mutable_reply());
+  To.set_reason(static_cast<std::uint32_t>(From.Result.Why));
+  To.set_server(From.Result.Server.value());
+  To.set_service_time_us(From.Result.ServiceTime.count());
+  if (From.Load)
+    write(*From.Load, *To.mutable_load());
+}
+
+AttemptAnswer read(const wire::AttemptAnswer &From) {
+  AttemptAnswer To;
+  To.OriginLife = Incarnation(From.origin_life());
+  To.Attempt = AttemptId(From.attempt());
+  To.Result.End = checkedEnum(From.end(), AttemptEnd::Failed);
+  if (From.has_reply())
+    To.Result.Reply = read(From.reply());
+  // An answered attempt without its answer must never look like a success.
+  if (To.Result.End == AttemptEnd::Answered && !To.Result.Reply)
+    throw BadField();
+  To.Result.Why = checkedEnum(From.reason(), Reason::StillRunning);
+  To.Result.Server = ServerName(From.server());
+  To.Result.ServiceTime = Duration(From.service_time_us());
+  if (From.has_load())
+    To.Load = read(From.load());
+  return To;
+}
+
+void write(const CancelForwarded &From, wire::Envelope &To) {
+  To.mutable_cancel_forwarded()->set_origin_life(From.OriginLife.value());
+  To.mutable_cancel_forwarded()->set_attempt(From.Attempt.value());
+}
+
+void write(const WorkWanted &From, wire::Envelope &To) {
+  To.mutable_work_wanted()->set_service(From.Service.value());
+  To.mutable_work_wanted()->set_slots(From.Slots);
+}
+
+void write(const ClaimCall &From, wire::Envelope &To) {
+  wire::ClaimCall &Call = *To.mutable_claim_call();
+  Call.set_correlation(From.Correlation);
+  write(*From.Request, *Call.mutable_request());
+  Call.set_remaining_us(From.Remaining.count());
+}
+
+void write(const ClaimAnswer &From, wire::Envelope &To) {
+  To.mutable_claim_answer()->set_correlation(From.Correlation);
+  write(*From.Reply, *To.mutable_claim_answer()->mutable_reply());
+}
+
+void write(const Handover &From, wire::Envelope &Envelope) {
+  wire::Handover &To = *Envelope.mutable_handover();
+  To.set_from(From.From.value());
+  To.set_life(From.Life.value());
+  To.set_current_epoch(From.CurrentEpoch);
+  To.set_oldest_epoch(From.OldestEpoch);
+  for (const HandedClaim &Claim : From.Claims) {
+    wire::HandedClaim &Added = *To.add_claims();
+    Added.set_epoch(Claim.Epoch);
+    Added.set_key(Claim.Key);
+    if (Claim.Reply)
+      write(*Claim.Reply, *Added.mutable_reply());
+  }
+}
+
+Handover read(const wire::Handover &From) {
+  Handover To;
+  To.From = HostName(From.from());
+  To.Life = Incarnation(From.life());
+  To.CurrentEpoch = From.current_epoch();
+  To.OldestEpoch = From.oldest_epoch();
+  for (const wire::HandedClaim &Claim : From.claims())
+    To.Claims.push_back({Claim.epoch(), Claim.key(),
+                         Claim.has_reply() ? read(Claim.reply()) : nullptr});
+  return To;
+}
+
+void write(const HandoverAck &From, wire::Envelope &To) {
+  To.mutable_handover_ack()->set_life(From.Life.value());
+}
+
+void write(const ConfigurationRequest &From, wire::Envelope &To) {
+  write(From.Mark, *To.mutable_configuration_request()->mutable_mark());
+}
+
+void write(const ConfigurationBytes &From, wire::Envelope &To) {
+  write(From.Mark, *To.mutable_configuration_bytes()->mutable_mark());
+  To.mutable_configuration_bytes()->set_bytes(From.Bytes);
+}
+
+ClaimAnswer readClaimAnswer(const wire::ClaimAnswer &From) {
+  if (!From.has_reply())
+    throw BadField();
+  return {From.correlation(), read(From.reply())};
+}
+
+PeerBody readBody(const wire::Envelope &From) {
+  switch (From.body_case()) {
+  case wire::Envelope::kPing:
+    return readProbe<Ping>(From.ping());
+  case wire::Envelope::kAck:
+    return readProbe<Ack>(From.ack());
+  case wire::Envelope::kPingRequest:
+    return PingRequest{From.ping_request().sequence(),
+                       HostName(From.ping_request().target())};
+  case wire::Envelope::kSoftState:
+    return read(From.soft_state());
+  case wire::Envelope::kLoadReport:
+    return read(From.load_report());
+  case wire::Envelope::kForwardedAttempt:
+    return read(From.forwarded_attempt());
+  case wire::Envelope::kAttemptAnswer:
+    return read(From.attempt_answer());
+  case wire::Envelope::kCancelForwarded:
+    return CancelForwarded{Incarnation(From.cancel_forwarded().origin_life()),
+                           AttemptId(From.cancel_forwarded().attempt())};
+  case wire::Envelope::kWorkWanted:
+    return WorkWanted{ServiceName(From.work_wanted().service()),
+                      From.work_wanted().slots()};
+  case wire::Envelope::kClaimCall:
+    return ClaimCall{From.claim_call().correlation(),
+                     read(From.claim_call().request()),
+                     Duration(From.claim_call().remaining_us())};
+  case wire::Envelope::kClaimAnswer:
+    return readClaimAnswer(From.claim_answer());
+  case wire::Envelope::kHandover:
+    return read(From.handover());
+  case wire::Envelope::kHandoverAck:
+    return HandoverAck{Incarnation(From.handover_ack().life())};
+  case wire::Envelope::kConfigurationRequest:
+    return ConfigurationRequest{read(From.configuration_request().mark())};
+  case wire::Envelope::kConfigurationBytes:
+    return ConfigurationBytes{read(From.configuration_bytes().mark()),
+                              From.configuration_bytes().bytes()};
+  case wire::Envelope::BODY_NOT_SET:
+    break;
+  }
+  throw BadField();
+}
+
+} // namespace
+
+const std::error_category &wireCategory() {
+  static const WireCategory Category;
+  return Category;
+}
+
+std::error_code make_error_code(WireError Error) {
+  return {static_cast<int>(Error), wireCategory()};
+}
+
+std::string encode(const PeerMessage &Message) {
+  wire::Envelope To;
+  To.set_from(Message.From.value());
+  To.set_from_life(Message.FromLife.value());
+  To.set_sequence(Message.Sequence);
+  std::visit([&To](const auto &Body) { write(Body, To); }, Message.Body);
+  return To.SerializeAsString();
+}
+
+boost::outcome_v2::result<PeerMessage, std::error_code>
+decode(std::string_view Bytes) {
+  wire::Envelope From;
+  if (!From.ParseFromArray(Bytes.data(), static_cast<int>(Bytes.size())))
+    return WireError::Malformed;
+  if (From.from().empty())
+    return WireError::BadField;
+  try {
+    PeerMessage To;
+    To.From = HostName(From.from());
+    To.FromLife = Incarnation(From.from_life());
+    To.Sequence = From.sequence();
+    To.Body = readBody(From);
+    return To;
+  } catch (const BadField &) {
+    return WireError::BadField;
+  }
+}
+
+} // namespace mimosacart
