--- a/core/caller_desk.cpp
+++ b/core/caller_desk.cpp
@@ -200,7 +200,7 @@
 }
 
 void CallerDesk::onDispatched(Instant Now, const DispatchRequest &Request,
-                              DispatchResult Result) {
+                              const DispatchResult &Result) {
   AnswerPtr Reply = Result.Reply;
   if (!Reply)
     Reply = toAnswer(Result.Refused);
--- a/core/caller_desk.h
+++ b/core/caller_desk.h
@@ -67,7 +67,7 @@
   void onClaimAnswer(Instant Now, const HostName &From,
                      const ClaimAnswer &Message);
   void onDispatched(Instant Now, const DispatchRequest &Request,
-                    DispatchResult Result);
+                    const DispatchResult &Result);
 
   /// Answers those whose deadline has passed.
   void tick(Instant Now);
--- a/core/dispatcher.cpp
+++ b/core/dispatcher.cpp
@@ -75,11 +75,11 @@
   const ServiceLoad Own = Local.load(Now, Service);
   if (Own.FreeSlots > 0 && Own.Queued == 0)
     return Self;
-  if (const auto Idle = Loads.withFreeSlot(Service, Self))
+  if (auto Idle = Loads.withFreeSlot(Service, Self))
     return Idle;
   if (Own.UsableSlots > 0)
     return Self;
-  if (const auto Peer = Loads.leastLoaded(Service, Self))
+  if (auto Peer = Loads.leastLoaded(Service, Self))
     return Peer;
   if (Local.owns(Service))
     return Self;
@@ -120,10 +120,11 @@
     Local.submit(Now, std::move(Item));
     return;
   }
-  forwardItem(Now, To, std::move(Item));
+  forwardItem(Now, To, Item);
 }
 
-void Dispatcher::forwardItem(Instant Now, const HostName &To, WorkItem Item) {
+void Dispatcher::forwardItem(Instant Now, const HostName &To,
+                             const WorkItem &Item) {
   ++ForwardCount;
   Loads.noteForwarded(To, Item.Service);
   ForwardedAttempt Message;
@@ -139,13 +140,14 @@
   Use.Send(To, std::move(Message));
 }
 
-void Dispatcher::moveItem(Instant Now, const HostName &To, WorkItem Item) {
+void Dispatcher::moveItem(Instant Now, const HostName &To,
+                          const WorkItem &Item) {
   if (Item.Origin == Self && Item.OriginLife == Life) {
     const auto Own = Attempts.find(Item.Attempt);
     if (Own != Attempts.end())
       Own->second.Holder = To;
   }
-  forwardItem(Now, To, std::move(Item));
+  forwardItem(Now, To, Item);
 }
 
 void Dispatcher::onForwarded(Instant Now, const ForwardedAttempt &Message,
@@ -174,7 +176,7 @@
   if (Own.UsableSlots == 0 && CanPassOn) {
     const auto Other = Loads.withFreeSlot(Item.Service, Self);
     if (Other && *Other != Message.Origin) {
-      forwardItem(Now, *Other, std::move(Item));
+      forwardItem(Now, *Other, Item);
       return;
     }
   }
@@ -188,7 +190,7 @@
       Local.submit(Now, std::move(Item));
       continue;
     }
-    moveItem(Now, From, std::move(Item));
+    moveItem(Now, From, Item);
   }
 }
 
@@ -199,7 +201,7 @@
       Local.submit(Now, std::move(Item));
       continue;
     }
-    moveItem(Now, *To, std::move(Item));
+    moveItem(Now, *To, Item);
   }
 }
 
@@ -219,7 +221,7 @@
 }
 
 void Dispatcher::onAttemptResult(Instant Now, AttemptId Id,
-                                 AttemptResult Result) {
+                                 const AttemptResult &Result) {
   const auto Found = Attempts.find(Id);
   if (Found == Attempts.end())
     return;
@@ -300,7 +302,7 @@
   cancelOpen(Now, Found->second);
   const DispatchRequest Request = std::move(Found->second.Request);
   Works.erase(Found);
-  Use.Finished(Request, std::move(Result));
+  Use.Finished(Request, Result);
 }
 
 void Dispatcher::cancelOpen(Instant Now, Work &Of) {
@@ -393,7 +395,7 @@
   Of.ForgetAt = Now + Policy.LateAnswerWindow;
   Timers.emplace(Of.ForgetAt, Of.Request.Id);
   const DispatchRequest Request = Of.Request;
-  Use.Finished(Request, std::move(Result));
+  Use.Finished(Request, Result);
 }
 
 void Dispatcher::hedge(Instant Now, Work &Of) {
--- a/core/dispatcher.h
+++ b/core/dispatcher.h
@@ -66,7 +66,8 @@
 public:
   struct Hooks {
     std::function<void(const HostName &, PeerBody)> Send;
-    std::function<void(const DispatchRequest &, DispatchResult)> Finished;
+    std::function<void(const DispatchRequest &, const DispatchResult &)>
+        Finished;
     std::function<std::size_t(std::uint64_t Fingerprint)> CrashCount;
     /// Told of each attempt's place, for traces.
     std::function<void(const DispatchRequest &, AttemptId, const HostName &)>
@@ -86,7 +87,8 @@
   void abandon(Instant Now, RequestId Id);
 
   /// Result of an attempt that this incarnation created.
-  void onAttemptResult(Instant Now, AttemptId Attempt, AttemptResult Result);
+  void onAttemptResult(Instant Now, AttemptId Attempt,
+                       const AttemptResult &Result);
   /// An attempt that another host asks this one to run.
   void onForwarded(Instant Now, const ForwardedAttempt &Message,
                    const RequestKind *Kind);
@@ -145,8 +147,8 @@
                                       const ServiceName &Service) const;
   void sendAttempt(Instant Now, const Work &Of, AttemptId Id,
                    const HostName &To, const ServerName &Avoid);
-  void forwardItem(Instant Now, const HostName &To, WorkItem Item);
-  void moveItem(Instant Now, const HostName &To, WorkItem Item);
+  void forwardItem(Instant Now, const HostName &To, const WorkItem &Item);
+  void moveItem(Instant Now, const HostName &To, const WorkItem &Item);
   bool mayRetry(Instant Now, Work &Of, const AttemptResult &Result);
   void finish(Instant Now, RequestId Id, DispatchResult Result);
   void conclude(Instant Now, Work &Of);
--- a/core/node.cpp
+++ b/core/node.cpp
@@ -49,14 +49,13 @@
   Scheduler::Hooks Hooks;
   Hooks.Start = [this](ServerCall Call) { act(CallServer{std::move(Call)}); };
   Hooks.Cancel = [this](CallId Id) { act(CancelCall{Id}); };
-  Hooks.Finished = [this](const WorkItem &Item, AttemptResult Result) {
+  Hooks.Finished = [this](const WorkItem &Item, const AttemptResult &Result) {
     if (Item.Origin == Self && Item.OriginLife == Life) {
-      Requests.onAttemptResult(Now, Item.Attempt, std::move(Result));
+      Requests.onAttemptResult(Now, Item.Attempt, Result);
       return;
     }
-    sendTo(Item.Origin,
-           AttemptAnswer{Item.OriginLife, Item.Attempt, std::move(Result),
-                         Local.load(Now, Item.Service)});
+    sendTo(Item.Origin, AttemptAnswer{Item.OriginLife, Item.Attempt, Result,
+                                      Local.load(Now, Item.Service)});
   };
   Hooks.LoadChanged = [this](const ServiceName &Service) {
     Reporter.touch(Service);
@@ -89,8 +88,8 @@
     sendTo(To, std::move(Body));
   };
   Hooks.Finished = [this](const DispatchRequest &Request,
-                          DispatchResult Result) {
-    Desk.onDispatched(Now, Request, std::move(Result));
+                          const DispatchResult &Result) {
+    Desk.onDispatched(Now, Request, Result);
   };
   Hooks.CrashCount = [this](std::uint64_t Fingerprint) {
     return Notices.crashCount(Now, Fingerprint);
@@ -207,9 +206,9 @@
   Desk.onCallerGone(Now, Id);
 }
 
-void Node::onCallResult(Instant At, CallId Id, CallResult Result) {
+void Node::onCallResult(Instant At, CallId Id, const CallResult &Result) {
   Now = At;
-  Local.onCallResult(Now, Id, std::move(Result));
+  Local.onCallResult(Now, Id, Result);
 }
 
 void Node::onPeerMessage(Instant At, const PeerMessage &Message) {
--- a/core/node.h
+++ b/core/node.h
@@ -125,7 +125,7 @@
   void onTick(Instant Now);
   void onCallerRequest(Instant Now, RequestId Id, RequestPtr Request);
   void onCallerGone(Instant Now, RequestId Id);
-  void onCallResult(Instant Now, CallId Id, CallResult Result);
+  void onCallResult(Instant Now, CallId Id, const CallResult &Result);
   void onPeerMessage(Instant Now, const PeerMessage &Message);
   /// The table's head row was read.
   void onHeadSeen(Instant Now, const ConfigurationMark &Mark);
--- a/core/scheduler.cpp
+++ b/core/scheduler.cpp
@@ -249,7 +249,7 @@
   return Ended;
 }
 
-void Scheduler::onCallResult(Instant Now, CallId Id, CallResult Result) {
+void Scheduler::onCallResult(Instant Now, CallId Id, const CallResult &Result) {
   const auto Found = Running.find(Id);
   if (Found == Running.end())
     return;
--- a/core/scheduler.h
+++ b/core/scheduler.h
@@ -66,7 +66,7 @@
     std::function<void(ServerCall)> Start;
     std::function<void(CallId)> Cancel;
     /// Told how each submitted attempt ended.
-    std::function<void(const WorkItem &, AttemptResult)> Finished;
+    std::function<void(const WorkItem &, const AttemptResult &)> Finished;
     /// Told when free slots or queue of the service changed.
     std::function<void(const ServiceName &)> LoadChanged;
     /// Told of a server that says it is leaving.
@@ -95,7 +95,7 @@
   /// Drops queued attempts of an origin that is gone.
   void dropOrigin(const HostName &Origin, Incarnation Life);
 
-  void onCallResult(Instant Now, CallId Id, CallResult Result);
+  void onCallResult(Instant Now, CallId Id, const CallResult &Result);
   void setDraining(Instant Now, const ServerName &Server, bool Draining);
 
   /// Refuses attempts that have waited past their time and starts those that
--- a/core/soft_notices.cpp
+++ b/core/soft_notices.cpp
@@ -29,7 +29,7 @@
 CrashNotice SoftNotices::addCrash(Instant Now, std::uint64_t Fingerprint,
                                   const ServerName &Server,
                                   std::uint64_t EventId) {
-  const CrashNotice Added{Fingerprint, Server, EventId, Times.CrashLifetime};
+  CrashNotice Added{Fingerprint, Server, EventId, Times.CrashLifetime};
   mergeCrash(Now, Added);
   return Added;
 }
--- a/daemon/entry_host_process.cpp
+++ b/daemon/entry_host_process.cpp
@@ -198,7 +198,7 @@
   std::vector<Action> Actions = Core.takeActions();
   while (!Actions.empty()) {
     for (Action &Next : Actions)
-      std::visit([this](auto &&Each) { run(std::move(Each)); }, Next);
+      std::visit([this](auto &Each) { run(std::move(Each)); }, Next);
     Actions = Core.takeActions();
   }
   CarryingOut = false;
--- a/tests/standins/load_tool.cpp
+++ b/tests/standins/load_tool.cpp
@@ -67,7 +67,7 @@
   EntryList(HttpClient &Http, std::vector<std::string> Asked)
       : Http(Http), Asked(std::move(Asked)) {}
 
-  void refresh(std::function<void()> Then) {
+  void refresh(const std::function<void()> &Then) {
     HttpCall Call;
     Call.Address = Asked[Next++ % Asked.size()];
     Call.Request = {"GET", "/v1/entries", {}, "", ""};
--- a/tests/standins/platform_standin.cpp
+++ b/tests/standins/platform_standin.cpp
@@ -29,7 +29,8 @@
 public:
   explicit PlatformStandin(asio::io_context &Context) : Context(Context) {}
 
-  void handle(HttpRequest Request, std::shared_ptr<HttpExchange> Exchange) {
+  void handle(const HttpRequest &Request,
+              std::shared_ptr<HttpExchange> Exchange) {
     if (Request.Target == "/control") {
       control(Request.Body);
       Exchange->respond({204, {}, ""});
@@ -148,8 +149,8 @@
   Limits.BodyBytes = MaxBodyBytes;
   HttpServer Server(
       Context, Limits,
-      [&](HttpRequest Request, std::shared_ptr<HttpExchange> Exchange) {
-        Platform.handle(std::move(Request), std::move(Exchange));
+      [&](const HttpRequest &Request, std::shared_ptr<HttpExchange> Exchange) {
+        Platform.handle(Request, std::move(Exchange));
       },
       [](NetError) {
         return HttpResponse{400, {}, ""};
--- a/tests/support/node_fleet.cpp
+++ b/tests/support/node_fleet.cpp
@@ -319,7 +319,7 @@
 }
 
 void NodeFleet::answerCall(const std::string &Caller, Incarnation Life,
-                           CallId Id, CallResult Result) {
+                           CallId Id, const CallResult &Result) {
   schedule(ServerDelay, [this, Caller, Life, Id, Result] {
     Host &To = Hosts.at(Caller);
     if (!To.Alive || To.Record.Life != Life || To.OpenCalls.erase(Id) == 0)
--- a/tests/support/node_fleet.h
+++ b/tests/support/node_fleet.h
@@ -137,7 +137,7 @@
   void carryOut(const std::string &Name, const Action &Next);
   void callServer(const std::string &Caller, const ServerCall &Call);
   void answerCall(const std::string &Caller, Incarnation Life, CallId Id,
-                  CallResult Result);
+                  const CallResult &Result);
   void tickLater(const std::string &Name, Incarnation Life, Duration Delay);
   void pollLater(const std::string &Name, Incarnation Life, Duration Delay);
   void pollPlatform(const std::string &Name);
