--- a/core/node.cpp
+++ b/core/node.cpp
@@ -170,7 +170,7 @@
 }
 
 void Node::sendToAddress(const std::string &Address, PeerBody Body) {
-  act(SendToPeer{Address, {Self, Life, ++LastSequence, std::move(Body)}});
+  act(SendToPeer{Address, {Self, Life, ++LastSequence, Now, std::move(Body)}});
 }
 
 void Node::broadcast(const PeerBody &Body) {
@@ -221,11 +221,12 @@
     return;
   }
   if (Message.FromLife > Sender.Life)
-    Sender = {Message.FromLife, {}};
+    Sender = {Message.FromLife, {}, {}};
   if (!Sender.Window.accept(Message.Sequence)) {
     ++DroppedMessages;
     return;
   }
+  MessageDelay = Sender.Delays.observe(Now, Message.SentAt);
   std::visit([this, &Message](const auto &Body) { handle(Message.From, Body); },
              Message.Body);
 }
@@ -265,7 +266,15 @@
 }
 
 void Node::handle(const HostName & /*From*/, const ForwardedAttempt &Message) {
-  Requests.onForwarded(Now, Message, findKind(Message.Service, Message.Kind));
+  // Its origin has given up, and told its caller so: this host or the network
+  // was stopped for longer than the request had.
+  if (MessageDelay >= Message.Remaining) {
+    ++DroppedMessages;
+    return;
+  }
+  ForwardedAttempt Timely = Message;
+  Timely.Remaining -= MessageDelay;
+  Requests.onForwarded(Now, Timely, findKind(Message.Service, Message.Kind));
 }
 
 void Node::handle(const HostName &From, const AttemptAnswer &Message) {
@@ -284,6 +293,11 @@
 }
 
 void Node::handle(const HostName &From, const ClaimCall &Message) {
+  // A copy that comes after its asker gave up must not be the first to run.
+  if (MessageDelay >= Message.Remaining) {
+    ++DroppedMessages;
+    return;
+  }
   Desk.onClaimCall(Now, From, Message);
 }
 
--- a/core/node.h
+++ b/core/node.h
@@ -5,6 +5,7 @@
 #include "core/caller_desk.h"
 #include "core/claim_ledger.h"
 #include "core/configuration.h"
+#include "core/delay_estimator.h"
 #include "core/dispatcher.h"
 #include "core/load_reporter.h"
 #include "core/load_view.h"
@@ -162,6 +163,7 @@
   struct SenderState {
     Incarnation Life;
     SequenceWindow Window;
+    DelayEstimator Delays;
   };
 
   Membership::Hooks membershipHooks();
@@ -216,6 +218,8 @@
   const Incarnation Life;
   /// Time of the event that is being handled.
   Instant Now;
+  /// How long the message that is being handled was on its way.
+  Duration MessageDelay{};
   std::vector<Action> Actions;
   std::uint64_t LastSequence = 0;
   std::map<HostName, SenderState> Senders;
--- a/core/peer_messages.h
+++ b/core/peer_messages.h
@@ -219,6 +219,8 @@
   Incarnation FromLife;
   /// Grows with every message of the sender's incarnation.
   std::uint64_t Sequence = 0;
+  /// The sender's monotonic time when it sent the message.
+  Instant SentAt{};
   PeerBody Body;
 };
 
--- a/wire/peer_codec.cpp
+++ b/wire/peer_codec.cpp
@@ -410,6 +410,7 @@
   To.set_from(Message.From.value());
   To.set_from_life(Message.FromLife.value());
   To.set_sequence(Message.Sequence);
+  To.set_sent_at_us(Message.SentAt.time_since_epoch().count());
   std::visit([&To](const auto &Body) { write(Body, To); }, Message.Body);
   return To.SerializeAsString();
 }
@@ -426,6 +427,7 @@
     To.From = HostName(From.from());
     To.FromLife = Incarnation(From.from_life());
     To.Sequence = From.sequence();
+    To.SentAt = Instant(Duration(From.sent_at_us()));
     To.Body = readBody(From);
     return To;
   } catch (const BadField &) {
