--- a/tests/standins/platform_standin.cpp
+++ b/tests/standins/platform_standin.cpp
@@ -2,7 +2,8 @@
 /// Stand-in for the platform: a table with conditional writes, an object
 /// store and a host list, all in memory.
 ///
-/// `POST /control` with `mode=up|down|hang|lose-answer` and `delay_ms=N`
+/// `POST /control` with `mode=up|down|hang|lose-answer|
+/// lose-row-answer` and `delay_ms=N`
 /// (separated by `&`) sets how it fails; `POST /control/hosts` sets the list.
 #include "net/asio.h"
 #include "net/http_server.h"
@@ -22,7 +23,7 @@
 
 constexpr std::size_t MaxBodyBytes = 64U << 20U;
 
-enum class Mode { Up, Down, Hang, LoseAnswer };
+enum class Mode { Up, Down, Hang, LoseAnswer, LoseRowAnswer };
 
 /// Versioned rows, objects and the host list.
 class PlatformStandin {
@@ -51,7 +52,10 @@
     }
     const bool IsWrite = Request.Method == "PUT";
     HttpResponse Response = serve(Request);
-    if (Current == Mode::LoseAnswer && IsWrite) {
+    const bool IsRow = Request.Target.rfind("/table/", 0) == 0;
+    const bool Loses = Current == Mode::LoseAnswer ||
+                       (Current == Mode::LoseRowAnswer && IsRow);
+    if (Loses && IsWrite) {
       Held.push_back(std::move(Exchange));
       return;
     }
@@ -66,6 +70,8 @@
       Current = Mode::Down;
     if (Body.find("mode=hang") != std::string::npos)
       Current = Mode::Hang;
+    if (Body.find("mode=lose-row-answer") != std::string::npos)
+      Current = Mode::LoseRowAnswer;
     if (Body.find("mode=lose-answer") != std::string::npos)
       Current = Mode::LoseAnswer;
     const std::size_t Delay = Body.find("delay_ms=");
