--- a/core/dispatcher.cpp
+++ b/core/dispatcher.cpp
@@ -33,8 +33,10 @@
   const auto Found = Budgets.find(Service);
   if (Found != Budgets.end())
     return Found->second;
-  const ServiceBudget Full{TokenBucket(Policy.RetryBurst, Policy.RetryBurst),
-                           TokenBucket(Policy.HedgeBurst, Policy.HedgeBurst)};
+  const ServiceBudget Full{
+      TokenBucket(Policy.RetryBurst, Policy.RetryBurst),
+      TokenBucket(Policy.HedgeBurst, Policy.HedgeBurst),
+      TokenBucket(Policy.HedgeBurst, Policy.HedgeTrialBurst)};
   return Budgets.emplace(Service, Full).first->second;
 }
 
@@ -56,6 +58,7 @@
   Budget.Retries.earn(Policy.RetryShare);
   if (Of.Request.Kind.Hedge) {
     Budget.Hedges.earn(Policy.HedgeShare);
+    Budget.ProvenHedges.earn(Policy.HedgeTrialShare);
     const Duration Quantile = timesOf(Of.Request).Quantile;
     if (Quantile > Duration::zero())
       Of.HedgeAt = Now + Quantile;
@@ -137,6 +140,8 @@
   Message.Remaining = Item.ExpiresAt - Now - Policy.ForwardMargin;
   Message.Hops = Item.Hops + 1;
   Message.Avoid = Item.Avoid;
+  if (Local.owns(Item.Service))
+    Message.Load = Local.load(Now, Item.Service);
   Use.Send(To, std::move(Message));
 }
 
@@ -185,7 +190,15 @@
 
 void Dispatcher::onWorkWanted(Instant Now, const HostName &From,
                               const WorkWanted &Message) {
-  for (WorkItem &Item : Local.take(Message.Service, Message.Slots)) {
+  // What is not taken from the queue now can be sent there as it arrives.
+  Loads.noteIdle(From, Message.Service, Message.Slots);
+  std::vector<WorkItem> Given = Local.take(Message.Service, Message.Slots);
+  if (Given.empty()) {
+    // The peer's belief is out of date; it would ask again and again.
+    Use.Send(From, LoadReport{{Local.load(Now, Message.Service)}});
+    return;
+  }
+  for (WorkItem &Item : Given) {
     if (Item.Hops >= MaxHops) {
       Local.submit(Now, std::move(Item));
       continue;
@@ -235,6 +248,8 @@
   Use.Ended(Of.Request, Id, Result);
   if (Result.End == AttemptEnd::Answered) {
     recordTime(Of, Now - Ended.StartedAt);
+    if (Of.Hedged && Id == Of.HedgeAttempt)
+      budgetOf(Of.Request.Service).ProvenHedges.earn(Policy.HedgesPerWin);
     DispatchResult Done;
     Done.Reply = Result.Reply;
     Done.Server = Result.Server;
@@ -404,18 +419,30 @@
   if (Use.CrashCount(Of.Request.Fingerprint) > 0)
     return;
   const ServiceName &Service = Of.Request.Service;
-  // A hedge takes a slot that is free; it never waits in front of others.
-  const bool LocalFree = Local.load(Now, Service).FreeSlots > 0;
-  if (!LocalFree && !Loads.withFreeSlot(Service, Self))
+  if (!hasRoomForHedge(Now, Service))
     return;
-  if (!budgetOf(Service).Hedges.spend(1))
+  ServiceBudget &Budget = budgetOf(Service);
+  if (Budget.Hedges.available() < 1 || !Budget.ProvenHedges.spend(1))
     return;
+  Budget.Hedges.spend(1);
   Of.Hedged = true;
+  Of.HedgeAttempt = AttemptId(LastAttempt + 1);
   ++HedgeCount;
   ++Of.AttemptsLeft;
   place(Now, Of, Local.serverOf({Self, Life, Of.Open.front()}));
 }
 
+/// A hedge takes spare slots only; near saturation it would add to the load
+/// that made the first attempt slow.
+bool Dispatcher::hasRoomForHedge(Instant Now,
+                                 const ServiceName &Service) const {
+  const ServiceLoad Own = Local.load(Now, Service);
+  if (Own.UsableSlots == 0)
+    return Loads.withFreeSlot(Service, Self).has_value();
+  return Own.Queued == 0 &&
+         Own.FreeSlots >= Policy.HedgeFreeShare * Own.UsableSlots;
+}
+
 void Dispatcher::recordTime(const Work &Of, Duration Time) {
   if (!Of.Request.Kind.Hedge)
     return;
--- a/core/dispatcher.h
+++ b/core/dispatcher.h
@@ -23,9 +23,17 @@
   /// Retries earned by each request; the rest of the budget is the burst.
   double RetryShare = 0.1;
   double RetryBurst = 10;
-  /// Hedges earned by each idempotent request.
+  /// Hedges allowed for each idempotent request at most.
   double HedgeShare = 0.05;
   double HedgeBurst = 5;
+  /// Hedges tried for each idempotent request without proof that they help;
+  /// one that answers first pays for \c HedgesPerWin more. Hedges of work that
+  /// is long on every server never win and so stay rare.
+  double HedgeTrialShare = 0.002;
+  double HedgeTrialBurst = 2;
+  double HedgesPerWin = 2;
+  /// Part of the usable slots that must be free for a hedge.
+  double HedgeFreeShare = 0.2;
   /// A hedge starts once an attempt takes longer than this quantile.
   double HedgeQuantile = 0.95;
   /// Attempts observed before hedges of the kind start.
@@ -117,6 +125,8 @@
     unsigned AttemptsLeft = 1;
     unsigned AttemptsMade = 0;
     bool Hedged = false;
+    /// The second attempt of a hedged request.
+    AttemptId HedgeAttempt;
     /// The caller has its result; a late answer is still awaited.
     bool Reported = false;
     /// An attempt may have run.
@@ -134,6 +144,8 @@
   struct ServiceBudget {
     TokenBucket Retries;
     TokenBucket Hedges;
+    /// Hedges that trials and wins have paid for.
+    TokenBucket ProvenHedges;
   };
   /// Recent attempt times of one kind, for the hedging quantile.
   struct KindTimes {
@@ -155,6 +167,7 @@
   void expireDeadline(Instant Now, Work &Of);
   void cancelOpen(Instant Now, Work &Of);
   void hedge(Instant Now, Work &Of);
+  bool hasRoomForHedge(Instant Now, const ServiceName &Service) const;
   void recordTime(const Work &Of, Duration Time);
   void askForWork(Instant Now, const ServiceName &Service);
   ServiceBudget &budgetOf(const ServiceName &Service);
--- a/core/load_reporter.cpp
+++ b/core/load_reporter.cpp
@@ -1,6 +1,7 @@
 #include "core/load_reporter.h"
 
 #include <algorithm>
+#include <bit>
 
 namespace mimosacart {
 
@@ -19,8 +20,10 @@
 std::uint32_t differenceOf(const ServiceLoad &Before, const ServiceLoad &Now) {
   const bool FreeFlipped = (Before.FreeSlots == 0) != (Now.FreeSlots == 0);
   const bool QueueFlipped = (Before.Queued == 0) != (Now.Queued == 0);
+  const bool QueueMagnitudeChanged =
+      std::bit_width(Before.Queued) != std::bit_width(Now.Queued);
   const bool UsableChanged = Before.UsableSlots != Now.UsableSlots;
-  if (!FreeFlipped && !QueueFlipped && !UsableChanged)
+  if (!FreeFlipped && !QueueFlipped && !QueueMagnitudeChanged && !UsableChanged)
     return 0;
   return FlipWeight + distance(Before.FreeSlots, Now.FreeSlots) +
          distance(Before.Queued, Now.Queued);
--- a/core/load_reporter.h
+++ b/core/load_reporter.h
@@ -20,7 +20,7 @@
   double BytesPerSecond = 12'000;
   double BurstBytes = 12'000;
   /// Reports of one service are at least this far apart.
-  Duration MinInterval = std::chrono::milliseconds(5);
+  Duration MinInterval = std::chrono::milliseconds(2);
 };
 
 /// Collects changed services and reports the largest changes first.
--- a/core/load_view.cpp
+++ b/core/load_view.cpp
@@ -55,6 +55,15 @@
     ++Known->Load.Queued;
 }
 
+void LoadView::noteIdle(const HostName &Host, const ServiceName &Service,
+                        std::uint32_t FreeSlots) {
+  Belief *Known = find(Service, Host);
+  if (Known == nullptr)
+    return;
+  Known->Load.FreeSlots = FreeSlots;
+  Known->Load.Queued = 0;
+}
+
 void LoadView::noteTaken(const HostName &Host, const ServiceName &Service,
                          std::uint32_t Count) {
   Belief *Known = find(Service, Host);
--- a/core/load_view.h
+++ b/core/load_view.h
@@ -36,6 +36,9 @@
   void update(const HostName &Host, const ServiceLoad &Load);
   /// Counts an attempt that was sent to \p Host.
   void noteForwarded(const HostName &Host, const ServiceName &Service);
+  /// \p Host said that it has free slots to fill.
+  void noteIdle(const HostName &Host, const ServiceName &Service,
+                std::uint32_t FreeSlots);
   /// Counts attempts asked from \p Host.
   void noteTaken(const HostName &Host, const ServiceName &Service,
                  std::uint32_t Count);
--- a/core/node.cpp
+++ b/core/node.cpp
@@ -223,6 +223,7 @@
 void Node::onCallerRequest(Instant At, RequestId Id, RequestPtr Request) {
   Now = At;
   Desk.onRequest(Now, Id, std::move(Request));
+  Reporter.flush(Now);
 }
 
 void Node::onCallerGone(Instant At, RequestId Id) {
@@ -233,6 +234,7 @@
 void Node::onCallResult(Instant At, CallId Id, const CallResult &Result) {
   Now = At;
   Local.onCallResult(Now, Id, Result);
+  Reporter.flush(Now);
 }
 
 void Node::onPeerMessage(Instant At, const PeerMessage &Message) {
@@ -253,6 +255,7 @@
   MessageDelay = Sender.Delays.observe(Now, Message.SentAt);
   std::visit([this, &Message](const auto &Body) { handle(Message.From, Body); },
              Message.Body);
+  Reporter.flush(Now);
 }
 
 void Node::handle(const HostName &From, const Ping &Message) {
@@ -289,7 +292,7 @@
   }
 }
 
-void Node::handle(const HostName & /*From*/, const ForwardedAttempt &Message) {
+void Node::handle(const HostName &From, const ForwardedAttempt &Message) {
   // Its origin has given up, and told its caller so: this host or the network
   // was stopped for longer than the request had.
   if (MessageDelay >= Message.Remaining) {
@@ -301,6 +304,8 @@
                                          Dropped, std::nullopt});
     return;
   }
+  if (Message.Load)
+    Loads.update(From, *Message.Load);
   ForwardedAttempt Timely = Message;
   Timely.Remaining -= MessageDelay;
   Requests.onForwarded(Now, Timely, findKind(Message.Service, Message.Kind));
--- a/core/peer_messages.h
+++ b/core/peer_messages.h
@@ -135,6 +135,8 @@
   std::uint32_t Hops = 0;
   /// Server of an earlier attempt, to be passed over if another is free.
   ServerName Avoid;
+  /// The sender's own load, so that the receiver knows what is left there.
+  std::optional<ServiceLoad> Load;
 };
 
 /// How an attempt ended.
--- a/core/server_pool.cpp
+++ b/core/server_pool.cpp
@@ -8,6 +8,8 @@
 
 /// Calls before a server's mean is compared with the others'.
 constexpr std::uint64_t MinCallsToJudge = 10;
+/// A sample counts for at most so many times the mean.
+constexpr double MaxSampleFactor = 3;
 
 } // namespace
 
@@ -142,7 +144,11 @@
   if (Verdict == CallVerdict::Good) {
     Known.FailuresInRow = 0;
     Known.Ejections = 0;
-    const auto Sample = static_cast<double>(ServiceTime.count());
+    auto Sample = static_cast<double>(ServiceTime.count());
+    // One straggler says little of its server; a server that really became
+    // slow passes this bound with a few calls.
+    if (Known.MeanMicroseconds > 0)
+      Sample = std::min(Sample, MaxSampleFactor * Known.MeanMicroseconds);
     Known.MeanMicroseconds =
         Known.MeanMicroseconds == 0
             ? Sample
--- a/wire/peer_codec.cpp
+++ b/wire/peer_codec.cpp
@@ -240,6 +240,8 @@
   To.set_remaining_us(From.Remaining.count());
   To.set_hops(From.Hops);
   To.set_avoid(From.Avoid.value());
+  if (From.Load)
+    write(*From.Load, *To.mutable_load());
 }
 
 ForwardedAttempt read(const wire::ForwardedAttempt &From) {
@@ -253,6 +255,8 @@
   To.Remaining = Duration(From.remaining_us());
   To.Hops = From.hops();
   To.Avoid = ServerName(From.avoid());
+  if (From.has_load())
+    To.Load = read(From.load());
   return To;
 }
 
