--- a/core/caller_desk.cpp
+++ b/core/caller_desk.cpp
@@ -160,10 +160,15 @@
   const bool Known = Ledger.hasAdopted(Token);
   const bool CameFromPeer = !Of.From.Peer.value().empty();
   const auto Holder = holderOf(Token);
+  if (Known) {
+    answer(Now, Id, Adopted.Reply, Reason::IssuerGone);
+    return;
+  }
   // A request is passed on once only, so that two hosts with different views
   // cannot send it to and fro.
-  if (Known || CameFromPeer || !Holder || *Holder == Self) {
-    answer(Now, Id, Adopted.Reply, Reason::IssuerGone);
+  if (CameFromPeer || !Holder || *Holder == Self) {
+    Of.AwaitsJournal = true;
+    Use.ReadJournal(Id, Token, *Of.Request->Key);
     return;
   }
   const std::uint64_t Correlation = ++LastCorrelation;
@@ -186,6 +191,17 @@
     answer(Now, Id, Message.Reply, Reason::None);
 }
 
+void CallerDesk::onJournal(Instant Now, RequestId Id, const AnswerPtr &Reply) {
+  const auto Found = Open.find(Id);
+  if (Found == Open.end() || !Found->second.AwaitsJournal)
+    return;
+  if (Reply) {
+    answer(Now, Id, Reply, Reason::None);
+    return;
+  }
+  refuse(Now, Id, {Outcome::Unknown, Reason::IssuerGone, {}});
+}
+
 void CallerDesk::dispatch(Instant Now, RequestId Id, const Route &Where) {
   const OpenRequest &Of = Open.at(Id);
   DispatchRequest Work;
@@ -275,7 +291,7 @@
   Open.erase(Found);
   Deadlines.erase({Gone.Deadline, Id});
   // Claimed work goes on: the caller may come back for its answer.
-  if (!Gone.Claim && Gone.AskedIssuer.value().empty())
+  if (!Gone.Claim && Gone.AskedIssuer.value().empty() && !Gone.AwaitsJournal)
     Use.Abandon(Now, Id);
 }
 
@@ -286,6 +302,10 @@
     const auto Found = Open.find(Id);
     if (Found == Open.end())
       continue;
+    if (Found->second.AwaitsJournal) {
+      refuse(Now, Id, {Outcome::Unknown, Reason::IssuerGone, {}});
+      continue;
+    }
     if (!Found->second.AskedIssuer.value().empty()) {
       refuse(Now, Id, {Outcome::Unknown, Reason::IssuerSilent, {}});
       continue;
--- a/core/caller_desk.h
+++ b/core/caller_desk.h
@@ -51,6 +51,10 @@
     std::function<void(Instant Now, DispatchRequest)> Dispatch;
     std::function<void(Instant Now, RequestId)> Abandon;
     std::function<void(Span)> Trace;
+    /// Looks a key up in the journal of an issuer that is gone; the result
+    /// comes back through onJournal().
+    std::function<void(RequestId, const IssuerToken &, const std::string &Key)>
+        ReadJournal;
   };
 
   CallerDesk(HostName Self, Incarnation Life, ClaimLedger &Ledger,
@@ -66,6 +70,8 @@
   void onClaimCall(Instant Now, const HostName &From, const ClaimCall &Call);
   void onClaimAnswer(Instant Now, const HostName &From,
                      const ClaimAnswer &Message);
+  /// What the journal says of a key; null if it says nothing.
+  void onJournal(Instant Now, RequestId Id, const AnswerPtr &Reply);
   void onDispatched(Instant Now, const DispatchRequest &Request,
                     const DispatchResult &Result);
 
@@ -93,6 +99,7 @@
     std::optional<ClaimKey> Claim;
     /// Host that the request was sent to for its claim.
     HostName AskedIssuer;
+    bool AwaitsJournal = false;
   };
 
   void handle(Instant Now, RequestId Id);
--- a/core/claim_ledger.cpp
+++ b/core/claim_ledger.cpp
@@ -22,8 +22,9 @@
 } // namespace
 
 ClaimLedger::ClaimLedger(HostName Host, Incarnation Life, Instant Start,
-                         ClaimLimits Limits)
-    : Host(std::move(Host)), Life(Life), Start(Start), Limits(Limits) {}
+                         ClaimLimits Limits, SettledHook Settled)
+    : Host(std::move(Host)), Life(Life), Start(Start), Limits(Limits),
+      Settled(std::move(Settled)) {}
 
 std::uint64_t ClaimLedger::epochAt(Instant Now) const {
   return static_cast<std::uint64_t>((Now - Start) / Limits.EpochLength);
@@ -102,6 +103,8 @@
   StoredBytes -= bytesOf(Into.Reply);
   StoredBytes += bytesOf(Reply);
   Into.Reply = Reply;
+  if (!isUnknown(Reply))
+    Settled(Key, Reply);
   // Refusals are few bytes and must stay exact, so only answers give way.
   if (Reply && !outcomeOf(*Reply))
     AnswerOrder.push_back(Key);
--- a/core/claim_ledger.h
+++ b/core/claim_ledger.h
@@ -11,6 +11,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <deque>
+#include <functional>
 #include <map>
 #include <string>
 #include <unordered_map>
@@ -64,8 +65,11 @@
 /// whole epochs; a forgotten epoch is answered with `unknown`.
 class ClaimLedger {
 public:
+  /// Told of each claim whose fate is known for good.
+  using SettledHook = std::function<void(const ClaimKey &, const AnswerPtr &)>;
+
   ClaimLedger(HostName Host, Incarnation Life, Instant Start,
-              ClaimLimits Limits);
+              ClaimLimits Limits, SettledHook Settled);
 
   /// The token that callers are to send with new requests at \p Now.
   IssuerToken currentToken(Instant Now) const;
@@ -127,6 +131,7 @@
   const Incarnation Life;
   const Instant Start;
   const ClaimLimits Limits;
+  const SettledHook Settled;
   std::map<std::uint64_t, EpochClaims> Epochs;
   /// Claims with stored answers, oldest first, for the byte budget.
   std::deque<ClaimKey> AnswerOrder;
--- a/core/node.cpp
+++ b/core/node.cpp
@@ -26,7 +26,11 @@
       Life(Settings.Self.Life), Now(Start), Notices(Settings.Notices),
       Members(Settings.Self, Settings.SeedAddresses, Settings.Membership,
               Settings.RandomSeed, membershipHooks()),
-      Ledger(Self, Life, Start, Settings.Claims),
+      Journal(Settings.Journal),
+      Ledger(Self, Life, Start, Settings.Claims,
+             [this](const ClaimKey &Claim, const AnswerPtr &Reply) {
+               Journal.note(Claim, Reply);
+             }),
       Local(Settings.Scheduling, schedulerHooks()),
       Requests(Self, Life, Settings.Dispatching, Local, Loads,
                dispatcherHooks()),
@@ -157,6 +161,10 @@
   Hooks.Abandon = [this](Instant At, RequestId Id) {
     Requests.abandon(At, Id);
   };
+  Hooks.ReadJournal = [this](RequestId Id, const IssuerToken &Token,
+                             const std::string &Key) {
+    act(ReadJournal{Id, Token, Key});
+  };
   Hooks.Trace = [this](Span Value) { act(RecordSpan{std::move(Value)}); };
   return Hooks;
 }
@@ -215,6 +223,8 @@
   Requests.tick(Now);
   Desk.tick(Now);
   Ledger.expire(Now);
+  if (auto Segment = Journal.next(Now, Ledger.currentToken(Now).Epoch))
+    act(WriteJournal{std::move(*Segment)});
   Reporter.flush(Now);
   if (StopStartedAt)
     advanceStop();
@@ -557,6 +567,16 @@
     markDrain(Server, false);
 }
 
+void Node::onJournalWritten(Instant At, bool Written) {
+  Now = At;
+  Journal.onWritten(Written);
+}
+
+void Node::onJournalRead(Instant At, RequestId Id, const AnswerPtr &Reply) {
+  Now = At;
+  Desk.onJournal(Now, Id, Reply);
+}
+
 void Node::onStop(Instant At) {
   Now = At;
   if (StopStartedAt)
@@ -670,6 +690,8 @@
   Result.RunningCalls = Local.runningCalls();
   Result.Claims = Ledger.size();
   Result.ClaimAnswerBytes = Ledger.answerBytes();
+  Result.JournalWaiting = Journal.waiting();
+  Result.JournalDropped = Journal.dropped();
   return Result;
 }
 
--- a/core/node.h
+++ b/core/node.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "core/caller_desk.h"
+#include "core/claim_journal.h"
 #include "core/claim_ledger.h"
 #include "core/configuration.h"
 #include "core/crash_reporter.h"
@@ -43,6 +44,16 @@
 struct FetchConfiguration {
   ConfigurationMark Mark;
 };
+/// Write a segment of the claim journal to the object store.
+struct WriteJournal {
+  JournalSegment Segment;
+};
+/// Look a key up in the journal of an issuer that is gone.
+struct ReadJournal {
+  RequestId Id;
+  IssuerToken Token;
+  std::string Key;
+};
 /// Ask a server whether it is still leaving.
 struct ProbeServer {
   BackendServer Server;
@@ -60,8 +71,8 @@
 struct Stopped {};
 
 using Action = std::variant<CallServer, CancelCall, ReplyToCaller, SendToPeer,
-                            FetchConfiguration, ProbeServer, LogEvent,
-                            RecordSpan, Stopped>;
+                            FetchConfiguration, WriteJournal, ReadJournal,
+                            ProbeServer, LogEvent, RecordSpan, Stopped>;
 
 /// What an entry host is told at its start.
 struct NodeSettings {
@@ -74,6 +85,7 @@
   /// A planned stop that is not complete by then is cut short.
   Duration StopTimeout = std::chrono::seconds(60);
   ClaimLimits Claims;
+  JournalLimits Journal;
   MembershipTimes Membership;
   NoticeTimes Notices;
   SchedulerPolicy Scheduling;
@@ -113,6 +125,8 @@
   std::size_t RunningCalls = 0;
   std::size_t Claims = 0;
   std::size_t ClaimAnswerBytes = 0;
+  std::size_t JournalWaiting = 0;
+  std::uint64_t JournalDropped = 0;
 };
 
 /// The decisions of one entry host. Not thread-safe; holds no sockets, files
@@ -138,6 +152,10 @@
                   const std::vector<ServerName> &Leaving);
   /// A probed server said whether it is leaving; no answer tells nothing.
   void onProbeResult(Instant Now, const ServerName &Server, bool Draining);
+  /// The segment of the last WriteJournal was written, or was not.
+  void onJournalWritten(Instant Now, bool Written);
+  /// What the journal says of the key of a ReadJournal; null for nothing.
+  void onJournalRead(Instant Now, RequestId Id, const AnswerPtr &Reply);
   /// A planned stop begins.
   void onStop(Instant Now);
 
@@ -255,6 +273,7 @@
   bool Done = false;
 
   Membership Members;
+  ClaimJournal Journal;
   ClaimLedger Ledger;
   LoadView Loads;
   Scheduler Local;
--- a/daemon/entry_host_process.cpp
+++ b/daemon/entry_host_process.cpp
@@ -91,6 +91,7 @@
       Servers(Io, MaxAnswerBytes), PlatformHttp(Io, MaxAnswerBytes),
       Platform(PlatformHttp, Settings.PlatformAddress,
                Settings.PlatformTimeout),
+      Archive(Platform),
       Watcher(Io, Platform, Settings.PlatformPoll, Log,
               {[this](const ConfigurationMark &Mark) {
                  Core.onHeadSeen(now(), Mark);
@@ -250,6 +251,21 @@
   Watcher.fetch(Next.Mark);
 }
 
+void EntryHostProcess::run(WriteJournal &&Next) {
+  Archive.write(Settings.Name, Life, Next.Segment, [this](bool Written) {
+    Core.onJournalWritten(now(), Written);
+    carryOut();
+  });
+}
+
+void EntryHostProcess::run(ReadJournal &&Next) {
+  Archive.find(Next.Token, Next.Key,
+               [this, Id = Next.Id](const AnswerPtr &Reply) {
+                 Core.onJournalRead(now(), Id, Reply);
+                 carryOut();
+               });
+}
+
 void EntryHostProcess::run(ProbeServer &&Next) {
   Counted.countProbe();
   HttpCall Call;
--- a/daemon/entry_host_process.h
+++ b/daemon/entry_host_process.h
@@ -4,6 +4,7 @@
 
 #include "core/node.h"
 #include "daemon/caller_protocol.h"
+#include "daemon/claim_archive.h"
 #include "daemon/configuration_watcher.h"
 #include "daemon/event_log.h"
 #include "daemon/metrics.h"
@@ -54,6 +55,8 @@
   void run(ReplyToCaller &&Next);
   void run(SendToPeer &&Next);
   void run(FetchConfiguration &&Next);
+  void run(WriteJournal &&Next);
+  void run(ReadJournal &&Next);
   void run(ProbeServer &&Next);
   void run(LogEvent &&Next);
   void run(RecordSpan &&Next);
@@ -75,6 +78,7 @@
   HttpClient Servers;
   HttpClient PlatformHttp;
   PlatformClient Platform;
+  ClaimArchive Archive;
   ConfigurationWatcher Watcher;
   PeerTransport Peers;
   HttpServer Callers;
--- a/daemon/metrics.cpp
+++ b/daemon/metrics.cpp
@@ -113,6 +113,8 @@
   Set("running_calls", Counters.RunningCalls);
   Set("claims", Counters.Claims);
   Set("claim_answer_bytes", Counters.ClaimAnswerBytes);
+  Set("journal_waiting", Counters.JournalWaiting);
+  Set("journal_dropped", Counters.JournalDropped);
   Set("caller_connections", CallerConnections);
   Set("process_cpu_seconds", cpuSeconds());
   std::ostringstream Text;
--- a/net/http_client.cpp
+++ b/net/http_client.cpp
@@ -86,6 +86,7 @@
   void connect(HttpClient::Impl &Pool);
   void write();
   void read();
+  void onHeader(const beast::error_code &Error);
   void onRead(const beast::error_code &Error);
   void finish(HttpResult Result);
   void fail(const beast::error_code &Error, NetError Otherwise);
@@ -165,11 +166,32 @@
   Parser->body_limit(Pool->MaxBodyBytes);
   if (Outgoing.method() == http::verb::head)
     Parser->skip(true);
+  http::async_read_header(*Stream, Buffer, *Parser,
+                          [Self = shared_from_this()](beast::error_code Error,
+                                                      std::size_t /*Bytes*/) {
+                            if (Self->Done)
+                              Self->onHeader(Error);
+                          });
+}
+
+void ClientCall::onHeader(const beast::error_code &Error) {
+  if (Error) {
+    fail(Error, NetError::Broken);
+    return;
+  }
+  // Beast 1.74 lets a response's declared length pass its own limit.
+  const auto Pool = Client.lock();
+  const auto Length = Parser->content_length();
+  const bool HasBody = Outgoing.method() != http::verb::head;
+  if (!Pool || (HasBody && Length && *Length > Pool->MaxBodyBytes)) {
+    finish(make_error_code(NetError::Broken));
+    return;
+  }
   http::async_read(*Stream, Buffer, *Parser,
-                   [Self = shared_from_this()](beast::error_code Error,
+                   [Self = shared_from_this()](beast::error_code Failure,
                                                std::size_t /*Bytes*/) {
                      if (Self->Done)
-                       Self->onRead(Error);
+                       Self->onRead(Failure);
                    });
 }
 
--- a/net/http_server.cpp
+++ b/net/http_server.cpp
@@ -17,8 +17,6 @@
     return NetError::HeaderTooLarge;
   if (Error == http::error::body_limit)
     return NetError::BodyTooLarge;
-  if (Error == beast::error::timeout)
-    return NetError::TimedOut;
   return NetError::Malformed;
 }
 
@@ -88,6 +86,8 @@
   std::optional<http::request_parser<http::string_body>> Parser;
   http::response<http::string_body> Outgoing;
   std::function<void()> Gone;
+  asio::steady_timer ReadTimer;
+  bool ReadTimedOut = false;
   bool Waiting = true;
   bool AwaitingResponse = false;
   bool KeepAlive = true;
@@ -96,7 +96,7 @@
 Session::Session(std::shared_ptr<HttpServer::Impl> Owner, tcp::socket Socket,
                  std::string RemoteAddress)
     : Server(std::move(Owner)), Stream(std::move(Socket)),
-      RemoteAddress(std::move(RemoteAddress)) {
+      RemoteAddress(std::move(RemoteAddress)), ReadTimer(Server->Context) {
   Server->Sessions.insert(this);
   ++Server->ConnectionsByAddress[this->RemoteAddress];
 }
@@ -142,7 +142,15 @@
   Parser.emplace();
   Parser->header_limit(static_cast<std::uint32_t>(Server->Limits.HeaderBytes));
   Parser->body_limit(Server->Limits.BodyBytes);
-  Stream.expires_after(Server->Limits.ReadTimeout);
+  // The stream's own timeout would close it before the refusal is sent.
+  Stream.expires_never();
+  ReadTimer.expires_after(Server->Limits.ReadTimeout);
+  ReadTimer.async_wait([Self = shared_from_this()](beast::error_code Error) {
+    if (Error)
+      return;
+    Self->ReadTimedOut = true;
+    Self->Stream.cancel();
+  });
   http::async_read(Stream, Buffer, *Parser,
                    [Self = shared_from_this()](beast::error_code Error,
                                                std::size_t /*Bytes*/) {
@@ -151,6 +159,11 @@
 }
 
 void Session::onRequest(const beast::error_code &Error) {
+  ReadTimer.cancel();
+  if (Error && ReadTimedOut) {
+    refuse(NetError::TimedOut);
+    return;
+  }
   if (Error && isQuietEnd(Error)) {
     close();
     return;
@@ -253,8 +266,12 @@
     Acceptor.bind(*Endpoint, Error);
   if (!Error)
     Acceptor.listen(asio::socket_base::max_listen_connections, Error);
-  if (Error)
+  if (Error) {
+    // Another address may be tried.
+    beast::error_code Ignored;
+    Acceptor.close(Ignored);
     return NetError::BadAddress;
+  }
   accept();
   return boost::outcome_v2::success();
 }
--- a/tests/core/claim_ledger_test.cpp
+++ b/tests/core/claim_ledger_test.cpp
@@ -16,7 +16,16 @@
 class ClaimLedgerTest : public testing::Test {
 protected:
   ClaimLedger makeLedger(ClaimLimits Limits = {}) const {
-    return {HostName("host-a"), Incarnation(7), Start, Limits};
+    return {HostName("host-a"), Incarnation(7), Start, Limits,
+            [](const ClaimKey &, const AnswerPtr &) {}};
+  }
+
+  ClaimLedger makeOther(const std::string &Name) const {
+    return {HostName(Name),
+            Incarnation(9),
+            Start,
+            {},
+            [](const ClaimKey &, const AnswerPtr &) {}};
   }
 };
 
@@ -129,7 +138,7 @@
   Leaver.claim(Start, Token, "done");
   Leaver.settle({Token.Epoch, "done"}, makeAnswer("done"));
   Leaver.claim(Start, Token, "open");
-  ClaimLedger Successor(HostName("host-b"), Incarnation(9), Start, {});
+  ClaimLedger Successor = makeOther("host-b");
   for (const Handover &Part : Leaver.handovers(Start))
     Successor.adopt(Part);
   EXPECT_EQ(Successor.lookUpAdopted(Token, "done").Reply->Body, "done");
@@ -147,10 +156,10 @@
   const IssuerToken Token = First.currentToken(Start);
   First.claim(Start, Token, "k");
   First.settle({Token.Epoch, "k"}, makeAnswer("done"));
-  ClaimLedger Second(HostName("host-b"), Incarnation(9), Start, {});
+  ClaimLedger Second = makeOther("host-b");
   for (const Handover &Part : First.handovers(Start))
     Second.adopt(Part);
-  ClaimLedger Third(HostName("host-c"), Incarnation(11), Start, {});
+  ClaimLedger Third = makeOther("host-c");
   for (const Handover &Part : Second.handovers(Start))
     Third.adopt(Part);
   EXPECT_EQ(Third.lookUpAdopted(Token, "k").Reply->Body, "done");
--- a/tests/guarantees/fleet_scenarios_test.cpp
+++ b/tests/guarantees/fleet_scenarios_test.cpp
@@ -112,6 +112,35 @@
   EXPECT_EQ(Fleet.executionsOf("key-1"), 1U);
 }
 
+TEST_F(FleetScenariosTest, book_issuerKilledAfterJournal_isAnsweredByOthers) {
+  const std::string Token = Fleet.token("host-a");
+  book("host-a", "1", Token, "x");
+  Fleet.run(1s);
+  Fleet.kill("host-a");
+  Fleet.run(5s);
+  const std::size_t Elsewhere = book("host-c", "1", Token, "x");
+  Fleet.restart("host-a");
+  Fleet.run(2s);
+  const std::size_t SameName = book("host-a", "1", Token, "x");
+  Fleet.run(2s);
+  EXPECT_EQ(Fleet.outcome(Elsewhere), "answered");
+  EXPECT_EQ(Fleet.outcome(SameName), "answered");
+  EXPECT_EQ(Fleet.executionsOf("key-1"), 1U);
+}
+
+TEST_F(FleetScenariosTest, book_issuerKilledDuringOutage_staysUnknown) {
+  Fleet.PlatformUp = false;
+  const std::string Token = Fleet.token("host-a");
+  book("host-a", "1", Token);
+  Fleet.run(1s);
+  Fleet.kill("host-a");
+  Fleet.run(5s);
+  Fleet.PlatformUp = true;
+  const std::size_t Again = book("host-c", "1", Token);
+  Fleet.run(5s);
+  EXPECT_EQ(Fleet.outcome(Again), "unknown");
+}
+
 TEST_F(FleetScenariosTest, book_issuerFrozenAndWoken_runsOnceAndAnswersLater) {
   const std::string Token = Fleet.token("host-a");
   book("host-a", "1", Token);
@@ -320,6 +349,8 @@
 }
 
 TEST_F(FleetScenariosTest, stop_handoverLost_isUnknownNeverTwice) {
+  // The journal would tell; without it only the handover could.
+  Fleet.PlatformUp = false;
   const std::string Token = Fleet.token("host-a");
   book("host-a", "1", Token);
   Fleet.run(1s);
--- /dev/null
+++ b/tests/net/http_client_test.cpp
@@ -0,0 +1,165 @@
+/// \file
+/// Answers of backend servers that are cut short, late or too long.
+#include "net/http_client.h"
+
+#include "net/asio.h"
+
+#include <boost/asio/read.hpp>
+#include <boost/asio/read_until.hpp>
+#include <boost/asio/write.hpp>
+
+#include <gtest/gtest.h>
+
+#include <thread>
+
+namespace mimosacart {
+namespace {
+
+using namespace std::chrono_literals;
+
+/// A server whose bytes the test writes.
+class HttpClientTest : public testing::Test {
+protected:
+  HttpClientTest()
+      : Acceptor(Context, {asio::ip::address_v4::loopback(), 0}),
+        Http(Context, 1000) {
+    const auto Port = Acceptor.local_endpoint().port();
+    Address = "127.0.0.1:" + std::to_string(Port);
+  }
+
+  /// Accepts one connection, answers \p Replies on it one request after the
+  /// other, and closes it if \p Close.
+  void serve(std::vector<std::string> Replies, bool Close) {
+    Acceptor.async_accept(
+        [this, Replies, Close](boost::system::error_code Error,
+                               tcp::socket Socket) {
+          if (Error)
+            return;
+          ++Accepted;
+          Held.push_back(std::make_shared<tcp::socket>(std::move(Socket)));
+          answer(Held.back(), Replies, 0, Close);
+        });
+  }
+
+  void answer(const std::shared_ptr<tcp::socket> &Socket,
+              const std::vector<std::string> &Replies, std::size_t Next,
+              bool Close) {
+    const auto Buffer = std::make_shared<std::string>();
+    asio::async_read_until(*Socket, asio::dynamic_buffer(*Buffer), "\r\n\r\n",
+                           [this, Socket, Buffer, Replies, Next, Close](
+                               boost::system::error_code Error, std::size_t) {
+                             if (Error)
+                               return;
+                             boost::system::error_code Ignored;
+                             asio::write(*Socket, asio::buffer(Replies[Next]),
+                                         Ignored);
+                             if (Next + 1 < Replies.size()) {
+                               answer(Socket, Replies, Next + 1, Close);
+                               return;
+                             }
+                             if (Close)
+                               Socket->close(Ignored);
+                           });
+  }
+
+  std::optional<HttpResult> call(Duration Timeout = 500ms) {
+    std::optional<HttpResult> Result;
+    HttpCall Call;
+    Call.Address = Address;
+    Call.Request = {"GET", "/", {}, "", ""};
+    Call.Timeout = Timeout;
+    Http.call(std::move(Call), [&Result](HttpResult Value) {
+      Result.emplace(std::move(Value));
+    });
+    Context.restart();
+    while (!Result && Context.run_one_for(2s) > 0) {
+    }
+    return Result;
+  }
+
+  std::error_code errorOf(const std::optional<HttpResult> &Result) {
+    if (!Result || Result->has_value())
+      return {};
+    return Result->error();
+  }
+
+  asio::io_context Context;
+  tcp::acceptor Acceptor;
+  HttpClient Http;
+  std::string Address;
+  unsigned Accepted = 0;
+  std::vector<std::shared_ptr<tcp::socket>> Held;
+};
+
+TEST_F(HttpClientTest, answer_whole_isReturned) {
+  serve({"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"}, false);
+  const auto Result = call();
+  ASSERT_TRUE(Result && Result->has_value());
+  EXPECT_EQ(Result->value().Body, "ok");
+}
+
+TEST_F(HttpClientTest, answer_truncated_isBrokenNeverShort) {
+  serve({"HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nok"}, true);
+  EXPECT_EQ(errorOf(call()), NetError::Broken);
+}
+
+TEST_F(HttpClientTest, answer_endedByClose_isMalformed) {
+  serve({"HTTP/1.1 200 OK\r\n\r\ncould be cut short"}, true);
+  EXPECT_EQ(errorOf(call()), NetError::Malformed);
+}
+
+TEST_F(HttpClientTest, answer_neverComes_timesOut) {
+  serve({""}, false);
+  EXPECT_EQ(errorOf(call(50ms)), NetError::TimedOut);
+}
+
+TEST_F(HttpClientTest, answer_largerThanLimit_isAnError) {
+  serve({"HTTP/1.1 200 OK\r\nContent-Length: 5000\r\n\r\n" +
+         std::string(5000, 'x')},
+        false);
+  const auto Result = call();
+  ASSERT_TRUE(Result.has_value());
+  ASSERT_TRUE(Result->has_error()) << Result->value().Body.size();
+  EXPECT_EQ(Result->error(), NetError::Broken);
+}
+
+TEST_F(HttpClientTest, connection_refused_isConnectFailed) {
+  Acceptor.close();
+  EXPECT_EQ(errorOf(call()), NetError::ConnectFailed);
+}
+
+TEST_F(HttpClientTest, connection_ofTimedOutCall_isNotReused) {
+  serve({""}, false);
+  call(50ms);
+  serve({"HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nnew"}, false);
+  const auto Result = call();
+  ASSERT_TRUE(Result && Result->has_value());
+  EXPECT_EQ(Result->value().Body, "new");
+  EXPECT_EQ(Accepted, 2U);
+}
+
+TEST_F(HttpClientTest, connection_withBytesLeftOver_isNotReused) {
+  // The second answer on the wire belongs to nobody.
+  serve({"HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\n1"
+         "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nstale"},
+        false);
+  call();
+  serve({"HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nnew"}, false);
+  const auto Result = call();
+  ASSERT_TRUE(Result && Result->has_value());
+  EXPECT_EQ(Result->value().Body, "new");
+}
+
+TEST_F(HttpClientTest, connection_ofGoodCall_isReused) {
+  serve({"HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\n1",
+         "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\n2"},
+        false);
+  call();
+  const auto Result = call();
+  ASSERT_TRUE(Result && Result->has_value());
+  EXPECT_EQ(Result->value().Body, "2");
+  EXPECT_EQ(Accepted, 1U);
+}
+
+} // namespace
+} // namespace mimosacart
--- /dev/null
+++ b/tests/net/http_server_test.cpp
@@ -0,0 +1,181 @@
+/// \file
+/// Hostile and broken input on a real socket: each gets a reason, or nothing
+/// more than its own connection closed.
+#include "net/http_server.h"
+
+#include "daemon/caller_protocol.h"
+#include "net/asio.h"
+
+#include <boost/asio/read.hpp>
+#include <boost/asio/read_until.hpp>
+#include <boost/asio/write.hpp>
+
+#include <gtest/gtest.h>
+
+#include <fmt/format.h>
+#include <thread>
+
+namespace mimosacart {
+namespace {
+
+using namespace std::chrono_literals;
+
+/// A server that echoes bodies, run by its own thread.
+class HttpServerTest : public testing::Test {
+protected:
+  HttpServerTest() {
+    HttpServerLimits Limits;
+    Limits.HeaderBytes = 2048;
+    Limits.BodyBytes = 1000;
+    Limits.ReadTimeout = 300ms;
+    Limits.ConnectionsPerAddress = 20;
+    Server = std::make_unique<HttpServer>(
+        Context, Limits,
+        [](const HttpRequest &Request,
+           const std::shared_ptr<HttpExchange> &Exchange) {
+          Exchange->respond({200, {}, "echo:" + Request.Body});
+        },
+        toRefusal);
+    for (unsigned Port = 9'000; Port < 9'900; ++Port) {
+      Address = fmt::format("127.0.0.1:{}", Port);
+      if (Server->listen(Address).has_value())
+        break;
+    }
+    Worker = std::thread([this] {
+      const auto Guard = asio::make_work_guard(Context);
+      Context.run();
+    });
+  }
+
+  ~HttpServerTest() override {
+    Context.stop();
+    Worker.join();
+  }
+
+  tcp::socket connect() {
+    tcp::socket Socket(Client);
+    Socket.connect(*parseEndpoint(Address));
+    return Socket;
+  }
+
+  static std::string readAll(tcp::socket &Socket) {
+    std::string Text;
+    boost::system::error_code Error;
+    asio::read(Socket, asio::dynamic_buffer(Text), Error);
+    return Text;
+  }
+
+  /// Sends \p Text and returns everything up to the end of the connection.
+  std::string exchange(const std::string &Text) {
+    tcp::socket Socket = connect();
+    boost::system::error_code Error;
+    asio::write(Socket, asio::buffer(Text), Error);
+    return readAll(Socket);
+  }
+
+  void expectStatus(const std::string &Text, unsigned Status) {
+    const std::string Reply = exchange(Text);
+    EXPECT_EQ(Reply.substr(0, 12), fmt::format("HTTP/1.1 {}", Status))
+        << Text << '\n'
+        << Reply;
+  }
+
+  asio::io_context Context;
+  asio::io_context Client;
+  std::unique_ptr<HttpServer> Server;
+  std::string Address;
+  std::thread Worker;
+};
+
+TEST_F(HttpServerTest, request_valid_isHandled) {
+  expectStatus("GET / HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n", 200);
+}
+
+TEST_F(HttpServerTest, request_malformed_isRefusedNotRun) {
+  const std::string Reply = exchange("NONSENSE\r\n\r\n");
+  EXPECT_EQ(Reply.substr(0, 12), "HTTP/1.1 400");
+  EXPECT_NE(Reply.find("Mimosacart-Outcome: not-run"), std::string::npos);
+}
+
+TEST_F(HttpServerTest, request_bothLengthHeaders_isRefused) {
+  expectStatus("POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 5\r\n"
+               "Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+               400);
+  expectStatus("POST / HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n"
+               "Content-Length: 5\r\n\r\n0\r\n\r\n",
+               400);
+}
+
+TEST_F(HttpServerTest, request_twoContentLengths_isRefused) {
+  expectStatus("POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 5\r\n"
+               "Content-Length: 6\r\n\r\nabcde",
+               400);
+}
+
+TEST_F(HttpServerTest, request_bareLineEnds_isRefused) {
+  expectStatus("GET / HTTP/1.1\nHost: x\n\n", 400);
+  expectStatus("GET / HTTP/1.1\r\nHost: x\nEvil: y\r\n\r\n", 400);
+}
+
+TEST_F(HttpServerTest, request_badChunking_isRefused) {
+  expectStatus("POST / HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n"
+               "\r\nZZ\r\nabc\r\n0\r\n\r\n",
+               400);
+}
+
+TEST_F(HttpServerTest, request_twoHosts_isRefused) {
+  expectStatus("GET / HTTP/1.1\r\nHost: x\r\nHost: y\r\n\r\n", 400);
+}
+
+TEST_F(HttpServerTest, request_headerTooLarge_isRefused431) {
+  expectStatus("GET / HTTP/1.1\r\nHost: x\r\nLong: " + std::string(4000, 'a') +
+                   "\r\n\r\n",
+               431);
+}
+
+TEST_F(HttpServerTest, request_bodyTooLarge_isRefused413) {
+  expectStatus("POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 2000\r\n\r\n",
+               413);
+}
+
+TEST_F(HttpServerTest, request_neverComplete_isRefused408) {
+  expectStatus("POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 10\r\n\r\nab",
+               408);
+}
+
+TEST_F(HttpServerTest, request_truncated_closesOnlyItsConnection) {
+  tcp::socket Healthy = connect();
+  {
+    tcp::socket Broken = connect();
+    asio::write(Broken, asio::buffer(std::string("POST / HTTP/1.1\r\nHo")));
+  }
+  asio::write(Healthy, asio::buffer(std::string("GET / HTTP/1.1\r\nHost: x\r\n"
+                                                "Connection: close\r\n\r\n")));
+  EXPECT_EQ(readAll(Healthy).substr(0, 12), "HTTP/1.1 200");
+}
+
+TEST_F(HttpServerTest, request_pipelined_areAnsweredInOrder) {
+  const std::string One =
+      "POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 1\r\n\r\n1";
+  const std::string Two = "POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 1\r\n"
+                          "Connection: close\r\n\r\n2";
+  const std::string Reply = exchange(One + Two);
+  EXPECT_LT(Reply.find("echo:1"), Reply.find("echo:2"));
+  EXPECT_NE(Reply.find("echo:2"), std::string::npos);
+}
+
+TEST_F(HttpServerTest, connections_tooManyFromOneAddress_areClosed) {
+  std::vector<tcp::socket> Open;
+  for (unsigned Index = 0; Index < 20; ++Index) {
+    Open.push_back(connect());
+    // Waits until the server has taken it in.
+    asio::write(Open.back(),
+                asio::buffer(std::string("GET / HTTP/1.1\r\nHost: x\r\n\r\n")));
+    char Byte = 0;
+    asio::read(Open.back(), asio::buffer(&Byte, 1));
+  }
+  EXPECT_EQ(exchange("GET / HTTP/1.1\r\nHost: x\r\n\r\n"), "");
+}
+
+} // namespace
+} // namespace mimosacart
--- a/tests/support/describe.cpp
+++ b/tests/support/describe.cpp
@@ -51,6 +51,17 @@
                      Value.Mark.Number.value());
 }
 
+std::string line(const WriteJournal &Value) {
+  return fmt::format("write_journal epoch={} number={} claims={}",
+                     Value.Segment.Epoch, Value.Segment.Number,
+                     Value.Segment.Claims.size());
+}
+
+std::string line(const ReadJournal &Value) {
+  return fmt::format("read_journal issuer={} key={}", Value.Token.Host.value(),
+                     Value.Key);
+}
+
 std::string line(const ProbeServer &Value) {
   return fmt::format("probe server={}", Value.Server.Name.value());
 }
--- a/tests/support/node_fleet.cpp
+++ b/tests/support/node_fleet.cpp
@@ -268,10 +268,50 @@
         });
     return;
   }
+  if (const auto *Write = std::get_if<WriteJournal>(&Next)) {
+    writeJournal(Name, Write->Segment);
+    return;
+  }
+  if (const auto *Read = std::get_if<ReadJournal>(&Next)) {
+    readJournal(Name, *Read);
+    return;
+  }
   if (std::holds_alternative<Stopped>(Next))
     Acting.Alive = false;
 }
 
+void NodeFleet::writeJournal(const std::string &Name,
+                             const JournalSegment &Segment) {
+  const Incarnation Life = Hosts.at(Name).Record.Life;
+  const bool Written = PlatformUp;
+  if (Written)
+    Journal[segmentName(HostName(Name), Life, Segment.Epoch, Segment.Number)] =
+        Segment.Claims;
+  schedule(NetworkDelay, [this, Name, Life, Written] {
+    deliver(Name, Life, [this, Written](Node &Core) {
+      Core.onJournalWritten(Now, Written);
+    });
+  });
+}
+
+void NodeFleet::readJournal(const std::string &Name,
+                            const ReadJournal &Wanted) {
+  AnswerPtr Found;
+  const std::string Prefix = "claims-" + Wanted.Token.Host.value() + '-' +
+                             std::to_string(Wanted.Token.Life.value()) + '-';
+  for (const auto &[Segment, Claims] : Journal)
+    for (const HandedClaim &Claim : Claims)
+      if (PlatformUp && Segment.rfind(Prefix, 0) == 0 &&
+          Claim.Epoch == Wanted.Token.Epoch && Claim.Key == Wanted.Key)
+        Found = Claim.Reply;
+  schedule(NetworkDelay, [this, Name, Life = Hosts.at(Name).Record.Life,
+                          Id = Wanted.Id, Found] {
+    deliver(Name, Life, [this, Id, Found](Node &Core) {
+      Core.onJournalRead(Now, Id, Found);
+    });
+  });
+}
+
 void NodeFleet::callServer(const std::string &Caller, const ServerCall &Call) {
   const Incarnation Life = Hosts.at(Caller).Record.Life;
   const CallId Id = Call.Id;
--- a/tests/support/node_fleet.h
+++ b/tests/support/node_fleet.h
@@ -141,6 +141,8 @@
   void tickLater(const std::string &Name, Incarnation Life, Duration Delay);
   void pollLater(const std::string &Name, Incarnation Life, Duration Delay);
   void pollPlatform(const std::string &Name);
+  void writeJournal(const std::string &Name, const JournalSegment &Segment);
+  void readJournal(const std::string &Name, const ReadJournal &Wanted);
   std::string hostAt(const std::string &Address) const;
 
   Configuration Content;
@@ -155,6 +157,8 @@
   std::map<std::string, FakeServer> Servers;
   std::vector<SentRequest> Sent;
   std::vector<Execution> Executed;
+  /// Journal segments in the fake object store, by name.
+  std::map<std::string, std::vector<HandedClaim>> Journal;
 };
 
 /// A service of \p Count servers spread over three data centres, with one
--- /dev/null
+++ b/tests/wire/peer_codec_test.cpp
@@ -0,0 +1,136 @@
+#include "wire/peer_codec.h"
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+namespace mimosacart {
+namespace {
+
+using namespace std::chrono_literals;
+
+PeerMessage wrap(PeerBody Body) {
+  return {HostName("host-a"), Incarnation(7), 42, Instant(5s), std::move(Body)};
+}
+
+RequestPtr makeRequest() {
+  CallerRequest Request;
+  Request.Method = "POST";
+  Request.Target = "/book/1";
+  Request.Headers = {{"A", "b"}};
+  Request.Body = std::string("\0\xff", 2);
+  Request.Key = "key";
+  Request.Token = "token";
+  Request.Timeout = 3s;
+  Request.AttemptsLeft = 2;
+  Request.TraceId = "trace";
+  return std::make_shared<const CallerRequest>(std::move(Request));
+}
+
+AnswerPtr makeAnswer() {
+  return std::make_shared<const Answer>(Answer{201, {{"C", "d"}}, "body"});
+}
+
+/// One message of every type, with every field set.
+std::vector<PeerBody> makeBodies() {
+  MemberRecord Member;
+  Member.Host = HostName("host-b");
+  Member.Life = Incarnation(9);
+  Member.Refutation = 3;
+  Member.Status = MemberStatus::Left;
+  Member.Leaving = true;
+  Member.DataCentre = "dc";
+  Member.PeerAddress = "p";
+  Member.CallerAddress = "c";
+  Member.Epoch = 8;
+  Member.Successor = HostName("host-c");
+  Member.Age = 4s;
+  const ConfigurationMark Mark{Generation(5), "digest"};
+  const ServiceLoad Load{ServiceName("s"), 1, 2, 3};
+  const CrashNotice Crash{11, ServerName("t"), 12, 6s};
+  AttemptResult Result;
+  Result.End = AttemptEnd::Answered;
+  Result.Reply = makeAnswer();
+  Result.Server = ServerName("t");
+  Result.ServiceTime = 9ms;
+  return {
+      Ping{1, Member, 2, Mark},
+      Ack{1, Member, 2, std::nullopt},
+      PingRequest{3, HostName("x")},
+      SoftState{{Member}, {{ServerName("t"), 4, true, 5s}}, {Crash}, Mark},
+      LoadReport{{Load}},
+      ForwardedAttempt{HostName("o"), Incarnation(1), AttemptId(2),
+                       ServiceName("s"), "kind", makeRequest(), 7s, 1,
+                       ServerName("t"), Load},
+      AttemptAnswer{Incarnation(1), AttemptId(2), Result, Load},
+      CancelForwarded{Incarnation(1), AttemptId(2)},
+      WorkWanted{ServiceName("s"), 4},
+      ClaimCall{5, makeRequest(), 8s},
+      ClaimAnswer{5, makeAnswer()},
+      Handover{HostName("h"),
+               Incarnation(1),
+               4,
+               2,
+               {{3, "key", makeAnswer()}, {3, "dropped", nullptr}}},
+      HandoverAck{Incarnation(1)},
+      ConfigurationRequest{Mark},
+      ConfigurationBytes{Mark, "bytes"},
+      CrashReport{Crash},
+      CrashReportAck{12},
+  };
+}
+
+TEST(PeerCodecTest, decode_everyType_encodesToTheSameBytes) {
+  const auto Bodies = makeBodies();
+  EXPECT_EQ(Bodies.size(), std::variant_size_v<PeerBody>);
+  for (std::size_t Index = 0; Index < Bodies.size(); ++Index) {
+    EXPECT_EQ(Bodies[Index].index(), Index);
+    const std::string Bytes = encode(wrap(Bodies[Index]));
+    const auto Read = decode(Bytes);
+    ASSERT_TRUE(Read.has_value()) << nameOf(Bodies[Index]);
+    EXPECT_EQ(Read.value().Body.index(), Index);
+    EXPECT_EQ(Read.value().SentAt, Instant(5s));
+    EXPECT_EQ(encode(Read.value()), Bytes) << nameOf(Bodies[Index]);
+  }
+}
+
+TEST(PeerCodecTest, decode_request_keepsEveryField) {
+  const auto Read =
+      decode(encode(wrap(ClaimCall{5, makeRequest(), 8s}))).value();
+  EXPECT_EQ(*std::get<ClaimCall>(Read.Body).Request, *makeRequest());
+}
+
+TEST(PeerCodecTest, decode_answeredWithoutAnswer_isRefused) {
+  AttemptResult Result;
+  Result.End = AttemptEnd::Answered;
+  const auto Read = decode(encode(
+      wrap(AttemptAnswer{Incarnation(1), AttemptId(2), Result, std::nullopt})));
+  ASSERT_TRUE(Read.has_error());
+  EXPECT_EQ(Read.error(), WireError::BadField);
+}
+
+TEST(PeerCodecTest, decode_foreignBytes_isRefused) {
+  EXPECT_TRUE(decode("").has_error());
+  EXPECT_TRUE(decode("GET / HTTP/1.1\r\n\r\n").has_error());
+}
+
+RC_GTEST_PROP(PeerCodecTest, decode_damagedBytes_neverCrashes,
+              (std::uint8_t Type, std::uint16_t Place, std::uint8_t Value,
+               std::uint16_t Length)) {
+  const auto Bodies = makeBodies();
+  std::string Bytes = encode(wrap(Bodies[Type % Bodies.size()]));
+  Bytes[Place % Bytes.size()] = static_cast<char>(Value);
+  Bytes.resize(std::min<std::size_t>(Bytes.size(), Length));
+  const auto Read = decode(Bytes);
+  if (Read.has_value())
+    encode(Read.value());
+}
+
+TEST(PeerCodecTest, claims_writtenAndRead_areTheSame) {
+  const std::vector<HandedClaim> Claims = {{3, "key", nullptr}};
+  const auto Read = decodeClaims(encodeClaims(Claims));
+  ASSERT_TRUE(Read.has_value());
+  EXPECT_EQ(Read.value(), Claims);
+}
+
+} // namespace
+} // namespace mimosacart
--- a/wire/peer_codec.cpp
+++ b/wire/peer_codec.cpp
@@ -151,6 +151,18 @@
           Duration(From.remaining_us())};
 }
 
+void write(const HandedClaim &From, wire::HandedClaim &To) {
+  To.set_epoch(From.Epoch);
+  To.set_key(From.Key);
+  if (From.Reply)
+    write(*From.Reply, *To.mutable_reply());
+}
+
+HandedClaim read(const wire::HandedClaim &From) {
+  return {From.epoch(), From.key(),
+          From.has_reply() ? read(From.reply()) : nullptr};
+}
+
 // --- One pair of functions for each message --------------------------------
 
 /// Ping and Ack have the same fields.
@@ -320,13 +332,8 @@
   To.set_life(From.Life.value());
   To.set_current_epoch(From.CurrentEpoch);
   To.set_oldest_epoch(From.OldestEpoch);
-  for (const HandedClaim &Claim : From.Claims) {
-    wire::HandedClaim &Added = *To.add_claims();
-    Added.set_epoch(Claim.Epoch);
-    Added.set_key(Claim.Key);
-    if (Claim.Reply)
-      write(*Claim.Reply, *Added.mutable_reply());
-  }
+  for (const HandedClaim &Claim : From.Claims)
+    write(Claim, *To.add_claims());
 }
 
 Handover read(const wire::Handover &From) {
@@ -336,8 +343,7 @@
   To.CurrentEpoch = From.current_epoch();
   To.OldestEpoch = From.oldest_epoch();
   for (const wire::HandedClaim &Claim : From.claims())
-    To.Claims.push_back({Claim.epoch(), Claim.key(),
-                         Claim.has_reply() ? read(Claim.reply()) : nullptr});
+    To.Claims.push_back(read(Claim));
   return To;
 }
 
@@ -457,4 +463,22 @@
   }
 }
 
+std::string encodeClaims(const std::vector<HandedClaim> &Claims) {
+  wire::Handover To;
+  for (const HandedClaim &Claim : Claims)
+    write(Claim, *To.add_claims());
+  return To.SerializeAsString();
+}
+
+boost::outcome_v2::result<std::vector<HandedClaim>, std::error_code>
+decodeClaims(std::string_view Bytes) {
+  wire::Handover From;
+  if (!From.ParseFromArray(Bytes.data(), static_cast<int>(Bytes.size())))
+    return WireError::Malformed;
+  std::vector<HandedClaim> Claims;
+  for (const wire::HandedClaim &Claim : From.claims())
+    Claims.push_back(read(Claim));
+  return Claims;
+}
+
 } // namespace mimosacart
--- a/wire/peer_codec.h
+++ b/wire/peer_codec.h
@@ -31,6 +31,13 @@
 boost::outcome_v2::result<PeerMessage, std::error_code>
 decode(std::string_view Bytes);
 
+/// Bytes of claims as they are kept in the object store.
+std::string encodeClaims(const std::vector<HandedClaim> &Claims);
+
+/// Reads what encodeClaims() wrote.
+boost::outcome_v2::result<std::vector<HandedClaim>, std::error_code>
+decodeClaims(std::string_view Bytes);
+
 } // namespace mimosacart
 
 template <>
