--- a/bench/outcome_counts.cpp
+++ b/bench/outcome_counts.cpp
@@ -28,6 +28,7 @@
   TestRequest Request;
   std::size_t Latest = 0;
   std::string FirstOutcome;
+  std::size_t AskedAgain = 0;
 };
 
 class Experiment {
@@ -35,6 +36,9 @@
   Experiment() : Random(FLAGS_seed), Fleet(makeTestConfiguration(6, 2)) {
     for (std::size_t Index = 0; Index < Names.size(); ++Index)
       Fleet.addHost(Names[Index], fmt::format("dc-{}", "abc"[Index % 3]));
+    for (unsigned Index = 1; Index <= 6; ++Index)
+      Fleet.server(fmt::format("server-{}", Index)).ServiceTime =
+          [](const CallerRequest &) { return Duration(50ms); };
     Fleet.run(3s);
   }
 
@@ -57,6 +61,10 @@
       Fleet.run(1s);
     }
     Fleet.run(5s);
+    // Callers that were answered ask once more, as one that lost its memory.
+    for (Booking &Each : Bookings)
+      Each.AskedAgain = Fleet.send(runningHost(), Each.Request);
+    Fleet.run(10s);
     report(Title);
   }
 
@@ -77,7 +85,7 @@
     if (Token.empty())
       return;
     const std::string Id = std::to_string(Bookings.size());
-    Booking Added{{"POST", "/book/" + Id, "", "key-" + Id, Token}, 0, ""};
+    Booking Added{{"POST", "/book/" + Id, "", "key-" + Id, Token}, 0, "", 0};
     Added.Latest = Fleet.send(Host, Added.Request);
     Bookings.push_back(std::move(Added));
   }
@@ -96,6 +104,7 @@
   void report(const std::string &Title) {
     std::map<std::string, unsigned> First;
     std::map<std::string, unsigned> Last;
+    unsigned UnknownLater = 0;
     unsigned Doubled = 0;
     unsigned Untrue = 0;
     for (const Booking &Each : Bookings) {
@@ -103,15 +112,16 @@
       const std::size_t Runs = Fleet.executionsOf(Each.Request.Key);
       ++First[Each.FirstOutcome];
       ++Last[Outcome];
+      UnknownLater += Fleet.outcome(Each.AskedAgain) == "unknown" ? 1 : 0;
       Doubled += Runs > 1 ? 1 : 0;
       Untrue += Outcome == "not-run" && Runs > 0 ? 1 : 0;
     }
-    fmt::print("| {} | {} | {} | {} | {} | {} | {} | {} | {} |\n", Title,
+    fmt::print("| {} | {} | {} | {} | {} | {} | {} | {} | {} | {} |\n", Title,
                Bookings.size(), First["answered"],
                First["unknown"] + First["none"] + First["in-progress"],
                Last["answered"], Last["not-run"],
-               Last["unknown"] + Last["in-progress"] + Last["none"], Doubled,
-               Untrue);
+               Last["unknown"] + Last["in-progress"] + Last["none"],
+               UnknownLater, Doubled, Untrue);
     std::fflush(stdout);
   }
 
@@ -127,8 +137,9 @@
 int main(int Argc, char **Argv) {
   gflags::ParseCommandLineFlags(&Argc, &Argv, true);
   fmt::print("| failure | sent | answered at first | uncertain at first | "
-             "answered | not-run | unknown at last | run twice | untrue "
-             "not-run |\n|---|---|---|---|---|---|---|---|---|\n");
+             "answered | not-run | unknown at last | unknown when all ask "
+             "again | run twice | untrue "
+             "not-run |\n|---|---|---|---|---|---|---|---|---|---|\n");
   Experiment().run("none", nothing, nothing);
   Experiment().run(
       "an entry host killed", [](NodeFleet &F) { F.kill("host-a"); }, nothing);
--- a/core/node.cpp
+++ b/core/node.cpp
@@ -35,7 +35,10 @@
       Requests(Self, Life, Settings.Dispatching, Local, Loads,
                dispatcherHooks()),
       Desk(Self, Life, Ledger, Members, deskHooks()),
-      Reporter(Settings.LoadReports, reporterHooks()), Crashes(crashHooks()) {}
+      Reporter(Settings.LoadReports, reporterHooks()), Crashes(crashHooks()),
+      Results([this](const HostName &To, PeerBody Body) {
+        sendTo(To, std::move(Body));
+      }) {}
 
 Membership::Hooks Node::membershipHooks() {
   Membership::Hooks Hooks;
@@ -78,8 +81,13 @@
     Requests.onAttemptResult(Now, Item.Attempt, Result);
     return;
   }
-  sendTo(Item.Origin, AttemptAnswer{Item.OriginLife, Item.Attempt, Result,
-                                    Local.load(Now, Item.Service)});
+  AttemptAnswer Message{Item.OriginLife, Item.Attempt, Result,
+                        Local.load(Now, Item.Service), false};
+  if (Item.Kind.Idempotent) {
+    sendTo(Item.Origin, std::move(Message));
+    return;
+  }
+  Results.deliver(Now, keyOf(Item), std::move(Message));
 }
 
 void Node::reportCrash(const WorkItem &Item, const ServerName &Server) {
@@ -219,6 +227,7 @@
     applyDrain(Server);
   probeDrainingServers();
   Crashes.tick(Now);
+  Results.tick(Now);
   Local.tick(Now);
   Requests.tick(Now);
   Desk.tick(Now);
@@ -310,8 +319,9 @@
     AttemptResult Dropped;
     Dropped.End = AttemptEnd::NotRun;
     Dropped.Why = Reason::DeadlinePassed;
-    sendTo(Message.Origin, AttemptAnswer{Message.OriginLife, Message.Attempt,
-                                         Dropped, std::nullopt});
+    Results.deliver(
+        Now, {Message.Origin, Message.OriginLife, Message.Attempt},
+        {Message.OriginLife, Message.Attempt, Dropped, std::nullopt, false});
     return;
   }
   if (Message.Load)
@@ -324,6 +334,8 @@
 void Node::handle(const HostName &From, const AttemptAnswer &Message) {
   if (Message.Load)
     Loads.update(From, *Message.Load);
+  if (Message.NeedsAck)
+    sendTo(From, AttemptAnswerAck{Message.OriginLife, Message.Attempt});
   if (Message.OriginLife == Life)
     Requests.onAttemptResult(Now, Message.Attempt, Message.Result);
 }
@@ -378,6 +390,10 @@
   sendTo(From, CrashReportAck{Message.Notice.EventId});
 }
 
+void Node::handle(const HostName &From, const AttemptAnswerAck &Message) {
+  Results.onAck({From, Message.OriginLife, Message.Attempt});
+}
+
 void Node::handle(const HostName &From, const CrashReportAck &Message) {
   Crashes.onAck(From, Message.EventId);
 }
@@ -611,7 +627,8 @@
   const bool OutOfTime = Elapsed >= Settings.StopTimeout;
   const bool CallersGone = Elapsed >= Settings.EntriesLifetime;
   const bool Idle = Desk.pending() == 0 && Requests.openRequests() == 0 &&
-                    Local.runningCalls() == 0 && Local.queuedAttempts() == 0;
+                    Local.runningCalls() == 0 && Local.queuedAttempts() == 0 &&
+                    Results.unconfirmed() == 0;
   if (!OutOfTime && !(CallersGone && Idle))
     return;
   Desk.seal();
--- a/core/node.h
+++ b/core/node.h
@@ -12,6 +12,7 @@
 #include "core/load_reporter.h"
 #include "core/load_view.h"
 #include "core/membership.h"
+#include "core/result_courier.h"
 #include "core/scheduler.h"
 #include "core/sequence_window.h"
 #include "core/soft_notices.h"
@@ -218,6 +219,7 @@
   void handle(const HostName &From, const ConfigurationBytes &Message);
   void handle(const HostName &From, const CrashReport &Message);
   void handle(const HostName &From, const CrashReportAck &Message);
+  void handle(const HostName &From, const AttemptAnswerAck &Message);
 
   void compareState(const HostName &From, std::uint64_t Digest,
                     const std::optional<ConfigurationMark> &Mark);
@@ -281,6 +283,7 @@
   CallerDesk Desk;
   LoadReporter Reporter;
   CrashReporter Crashes;
+  ResultCourier Results;
 };
 
 } // namespace mimosacart
--- a/core/peer_messages.cpp
+++ b/core/peer_messages.cpp
@@ -36,7 +36,8 @@
                "configuration_request",
                "configuration_bytes",
                "crash_report",
-               "crash_report_ack"};
+               "crash_report_ack",
+               "attempt_answer_ack"};
   return Names[Body.index()];
 }
 
--- a/core/peer_messages.h
+++ b/core/peer_messages.h
@@ -158,6 +158,14 @@
   AttemptId Attempt;
   AttemptResult Result;
   std::optional<ServiceLoad> Load;
+  /// Whether the result is sent again until an AttemptAnswerAck comes.
+  bool NeedsAck = false;
+};
+
+/// Confirms an AttemptAnswer of the sender's attempt.
+struct AttemptAnswerAck {
+  Incarnation OriginLife;
+  AttemptId Attempt;
 };
 
 /// Withdraws an attempt that is still queued at the receiver.
@@ -219,11 +227,12 @@
   std::string Bytes;
 };
 
-using PeerBody = std::variant<Ping, Ack, PingRequest, SoftState, LoadReport,
-                              ForwardedAttempt, AttemptAnswer, CancelForwarded,
-                              WorkWanted, ClaimCall, ClaimAnswer, Handover,
-                              HandoverAck, ConfigurationRequest,
-                              ConfigurationBytes, CrashReport, CrashReportAck>;
+using PeerBody =
+    std::variant<Ping, Ack, PingRequest, SoftState, LoadReport,
+                 ForwardedAttempt, AttemptAnswer, CancelForwarded, WorkWanted,
+                 ClaimCall, ClaimAnswer, Handover, HandoverAck,
+                 ConfigurationRequest, ConfigurationBytes, CrashReport,
+                 CrashReportAck, AttemptAnswerAck>;
 
 /// One message with its sender.
 struct PeerMessage {
--- a/core/scheduler.h
+++ b/core/scheduler.h
@@ -137,7 +137,7 @@
 
   const SchedulerPolicy Policy;
   const Hooks Use;
-  std::map<ServiceName, ServiceState> Services;
+  std::unordered_map<ServiceName, ServiceState> Services;
   std::unordered_map<CallId, RunningCall> Running;
   std::map<AttemptKey, CallId> CallsByAttempt;
   std::uint64_t LastCall = 0;
--- a/tests/guarantees/fleet_scenarios_test.cpp
+++ b/tests/guarantees/fleet_scenarios_test.cpp
@@ -175,6 +175,31 @@
   EXPECT_EQ(countOutcome(Again, "in-progress"), 0U);
 }
 
+TEST_F(FleetScenariosTest, book_originCutWhileRunningElsewhere_isSettledLater) {
+  const std::string Token = Fleet.token("host-a");
+  for (unsigned Index = 1; Index <= 6; ++Index)
+    Fleet.server(fmt::format("server-{}", Index)).ServiceTime =
+        [](const CallerRequest &) { return Duration(500ms); };
+  for (unsigned Index = 0; Index < 20; ++Index)
+    book("host-a", std::to_string(Index), Token);
+  Fleet.run(100ms);
+  Fleet.Network = [](const std::string &From, const std::string &To,
+                     const PeerMessage &) {
+    return (From == "host-a") != (To == "host-a") ? Delivery{}
+                                                  : Delivery{{1ms}};
+  };
+  Fleet.run(8s);
+  Fleet.Network = [](const std::string &, const std::string &,
+                     const PeerMessage &) { return Delivery{{1ms}}; };
+  Fleet.run(10s);
+  std::vector<std::size_t> Again;
+  for (unsigned Index = 0; Index < 20; ++Index)
+    Again.push_back(book("host-a", std::to_string(Index), Token));
+  Fleet.run(5s);
+  EXPECT_EQ(countOutcome(Again, "unknown"), 0U);
+  EXPECT_EQ(countOutcome(Again, "in-progress"), 0U);
+}
+
 TEST_F(FleetScenariosTest, book_refusedNotRunThenDelayedCopy_staysNotRun) {
   for (unsigned Index = 1; Index <= 6; ++Index)
     Fleet.server(fmt::format("server-{}", Index)).Mode = "draining";
--- a/tests/wire/peer_codec_test.cpp
+++ b/tests/wire/peer_codec_test.cpp
@@ -61,7 +61,7 @@
       ForwardedAttempt{HostName("o"), Incarnation(1), AttemptId(2),
                        ServiceName("s"), "kind", makeRequest(), 7s, 1,
                        ServerName("t"), Load},
-      AttemptAnswer{Incarnation(1), AttemptId(2), Result, Load},
+      AttemptAnswer{Incarnation(1), AttemptId(2), Result, Load, true},
       CancelForwarded{Incarnation(1), AttemptId(2)},
       WorkWanted{ServiceName("s"), 4},
       ClaimCall{5, makeRequest(), 8s},
@@ -76,6 +76,7 @@
       ConfigurationBytes{Mark, "bytes"},
       CrashReport{Crash},
       CrashReportAck{12},
+      AttemptAnswerAck{Incarnation(1), AttemptId(2)},
   };
 }
 
@@ -102,8 +103,8 @@
 TEST(PeerCodecTest, decode_answeredWithoutAnswer_isRefused) {
   AttemptResult Result;
   Result.End = AttemptEnd::Answered;
-  const auto Read = decode(encode(
-      wrap(AttemptAnswer{Incarnation(1), AttemptId(2), Result, std::nullopt})));
+  const auto Read = decode(encode(wrap(AttemptAnswer{
+      Incarnation(1), AttemptId(2), Result, std::nullopt, false})));
   ASSERT_TRUE(Read.has_error());
   EXPECT_EQ(Read.error(), WireError::BadField);
 }
--- a/wire/peer_codec.cpp
+++ b/wire/peer_codec.cpp
@@ -284,6 +284,7 @@
   To.set_service_time_us(From.Result.ServiceTime.count());
   if (From.Load)
     write(*From.Load, *To.mutable_load());
+  To.set_needs_ack(From.NeedsAck);
 }
 
 AttemptAnswer read(const wire::AttemptAnswer &From) {
@@ -301,9 +302,15 @@
   To.Result.ServiceTime = Duration(From.service_time_us());
   if (From.has_load())
     To.Load = read(From.load());
+  To.NeedsAck = From.needs_ack();
   return To;
 }
 
+void write(const AttemptAnswerAck &From, wire::Envelope &To) {
+  To.mutable_attempt_answer_ack()->set_origin_life(From.OriginLife.value());
+  To.mutable_attempt_answer_ack()->set_attempt(From.Attempt.value());
+}
+
 void write(const CancelForwarded &From, wire::Envelope &To) {
   To.mutable_cancel_forwarded()->set_origin_life(From.OriginLife.value());
   To.mutable_cancel_forwarded()->set_attempt(From.Attempt.value());
@@ -416,6 +423,10 @@
     return CrashReport{read(From.crash_report().notice())};
   case wire::Envelope::kCrashReportAck:
     return CrashReportAck{From.crash_report_ack().event_id()};
+  case wire::Envelope::kAttemptAnswerAck:
+    return AttemptAnswerAck{
+        Incarnation(From.attempt_answer_ack().origin_life()),
+        AttemptId(From.attempt_answer_ack().attempt())};
   case wire::Envelope::BODY_NOT_SET:
     break;
   }
