--- a/core/claim_journal.cpp
+++ b/core/claim_journal.cpp
@@ -19,13 +19,15 @@
   ++Dropped;
 }
 
-std::optional<JournalSegment> ClaimJournal::next(Instant Now,
-                                                 std::uint64_t Epoch) {
+std::optional<JournalSegment>
+ClaimJournal::next(Instant Now, std::uint64_t Epoch, std::size_t Hosts) {
   if (Writing || Now < NextAt)
     return std::nullopt;
   if (!Current && Waiting.empty())
     return std::nullopt;
-  NextAt = Now + Limits.Interval;
+  const Duration Share =
+      Duration(std::chrono::seconds(1)) * Hosts / Limits.FleetWritesPerSecond;
+  NextAt = Now + std::max(Limits.Interval, Share);
   Writing = true;
   if (Current)
     return Current;
--- a/core/claim_journal.h
+++ b/core/claim_journal.h
@@ -21,6 +21,8 @@
 struct JournalLimits {
   /// At most one segment is written in this time.
   Duration Interval = std::chrono::milliseconds(500);
+  /// Segments that the whole fleet may write in a second.
+  std::size_t FleetWritesPerSecond = 200;
   /// Claims kept while the platform cannot be reached; the oldest give way.
   std::size_t MaxWaiting = 20'000;
   /// Larger answers are recorded as run, without their bytes.
@@ -55,8 +57,9 @@
   void note(const ClaimKey &Claim, const AnswerPtr &Reply);
 
   /// The segment to write at \p Now; nothing if there is none or one is being
-  /// written.
-  std::optional<JournalSegment> next(Instant Now, std::uint64_t Epoch);
+  /// written. A fleet of \p Hosts shares what the platform can write.
+  std::optional<JournalSegment> next(Instant Now, std::uint64_t Epoch,
+                                     std::size_t Hosts);
 
   /// Tells how the last segment fared; one that failed is offered again.
   void onWritten(bool Written);
--- a/core/membership.cpp
+++ b/core/membership.cpp
@@ -144,7 +144,8 @@
   if (Found == Members.end())
     return;
   if (Found->second.Record.Status == MemberStatus::Alive)
-    applyStatus(Now, Found->second, MemberStatus::Suspect);
+    applyStatus(Now, Found->second, MemberStatus::Suspect,
+                NewsSource::FirstHand);
 }
 
 void Membership::checkSuspicions(Instant Now) {
@@ -154,7 +155,7 @@
     const Duration Age = Now - Known.Since;
     if (Known.Record.Status == MemberStatus::Suspect &&
         Age >= Times.DeadAfter) {
-      applyStatus(Now, Known, MemberStatus::Dead);
+      applyStatus(Now, Known, MemberStatus::Dead, NewsSource::Relayed);
       continue;
     }
     if (Known.Record.Status > MemberStatus::Suspect && Age >= Times.ForgetAfter)
@@ -162,16 +163,18 @@
   }
 }
 
-void Membership::applyStatus(Instant Now, Member &Changed,
-                             MemberStatus Status) {
+void Membership::applyStatus(Instant Now, Member &Changed, MemberStatus Status,
+                             NewsSource Source) {
   Changed.Record.Status = Status;
   Changed.Since = Now;
-  Use.Changed(Changed.Record);
+  Use.Changed(Changed.Record, Source);
 }
 
 void Membership::onPing(Instant Now, const HostName &From,
                         const Ping &Message) {
-  merge(Now, Message.Self);
+  merge(Now, Message.Self,
+        From == Message.Self.Host ? NewsSource::FirstHand
+                                  : NewsSource::Relayed);
   const PingExtras Extras = Use.Extras();
   const MemberRecord *Sender = find(From);
   if (Sender == nullptr)
@@ -181,7 +184,7 @@
 }
 
 void Membership::onAck(Instant Now, const Ack &Message) {
-  merge(Now, Message.Self);
+  merge(Now, Message.Self, NewsSource::Relayed);
   const auto Found = Pending.find(Message.Sequence);
   if (Found == Pending.end())
     return;
@@ -206,7 +209,8 @@
   sendPing(Now, *Target, std::pair(From, Message.Sequence));
 }
 
-bool Membership::merge(Instant Now, const MemberRecord &Told) {
+bool Membership::merge(Instant Now, const MemberRecord &Told,
+                       NewsSource Source) {
   if (Told.Host == Self.Host) {
     refute(Now, Told);
     return false;
@@ -217,7 +221,7 @@
     if (Told.Status == MemberStatus::Dead)
       return false;
     Members[Told.Host] = {Told, Now - Told.Age};
-    Use.Changed(Told);
+    Use.Changed(Told, Source);
     return true;
   }
   MemberRecord &Known = Found->second.Record;
@@ -230,7 +234,7 @@
   Found->second = {Told, Now - Told.Age};
   if (SameLife)
     Found->second.Record.Epoch = Epoch;
-  Use.Changed(Told);
+  Use.Changed(Told, Source);
   return true;
 }
 
@@ -259,7 +263,9 @@
   announceSelf(Now);
 }
 
-void Membership::announceSelf(Instant /*Now*/) { Use.Changed(Self); }
+void Membership::announceSelf(Instant /*Now*/) {
+  Use.Changed(Self, NewsSource::FirstHand);
+}
 
 const MemberRecord *Membership::find(const HostName &Host) const {
   if (Host == Self.Host)
--- a/core/membership.h
+++ b/core/membership.h
@@ -37,6 +37,16 @@
   std::optional<ConfigurationMark> Mark;
 };
 
+/// Where a change of the view comes from.
+enum class NewsSource : std::uint8_t {
+  /// Seen by this host itself: the others have to be told.
+  FirstHand,
+  /// Told by a peer, or due everywhere by time: whoever saw it first tells
+  /// all, and the exchange of digests mends what was lost. Telling it again
+  /// would cost the square of the fleet's size in messages.
+  Relayed,
+};
+
 /// The view that one entry host has of the fleet.
 ///
 /// The view is soft state: a wrong one costs speed, never safety.
@@ -45,7 +55,7 @@
   /// Sends \p Body to a peer address.
   using SendHook = std::function<void(const std::string &Address, PeerBody)>;
   /// Told of each record whose status, life or leaving flag changed.
-  using ChangeHook = std::function<void(const MemberRecord &)>;
+  using ChangeHook = std::function<void(const MemberRecord &, NewsSource)>;
   /// Supplies what pings carry for other modules.
   using ExtrasHook = std::function<PingExtras()>;
 
@@ -66,8 +76,8 @@
   void onPingRequest(Instant Now, const HostName &From,
                      const PingRequest &Message);
 
-  /// Merges one record told by a peer; true if it changed the view.
-  bool merge(Instant Now, const MemberRecord &Told);
+  /// Merges one record; true if it changed the view.
+  bool merge(Instant Now, const MemberRecord &Told, NewsSource Source);
 
   /// Marks this host as leaving and tells the others.
   void leave(Instant Now);
@@ -116,7 +126,8 @@
   void checkSuspicions(Instant Now);
   void requestIndirectPings(std::uint64_t Sequence, PendingPing &Waiting);
   void suspect(Instant Now, const HostName &Host);
-  void applyStatus(Instant Now, Member &Changed, MemberStatus Status);
+  void applyStatus(Instant Now, Member &Changed, MemberStatus Status,
+                   NewsSource Source);
   void refute(Instant Now, const MemberRecord &Told);
   void sendPing(Instant Now, const MemberRecord &Target,
                 std::optional<std::pair<HostName, std::uint64_t>> AskedBy);
--- a/core/node.cpp
+++ b/core/node.cpp
@@ -14,6 +14,8 @@
 constexpr Duration ProbeInterval = std::chrono::seconds(1);
 /// A drain is held at least this long, however the server answers a probe.
 constexpr Duration MinDrainTime = std::chrono::seconds(3);
+/// Peers that a host tells of a configuration that it has installed.
+constexpr std::size_t MarkFanOut = 4;
 /// Shares of callers' requests, in percent of all.
 constexpr unsigned WholeShare = 100;
 
@@ -21,7 +23,8 @@
 
 Node::Node(Instant Start, NodeSettings Given)
     : Settings(std::move(Given)), Self(Settings.Self.Host),
-      Life(Settings.Self.Life), Now(Start), Notices(Settings.Notices),
+      Life(Settings.Self.Life), Now(Start), Random(Settings.RandomSeed),
+      Notices(Settings.Notices),
       Members(Settings.Self, Settings.SeedAddresses, Settings.Membership,
               Settings.RandomSeed, membershipHooks()),
       Journal(Settings.Journal),
@@ -79,7 +82,8 @@
   Requests.tick(Now);
   Desk.tick(Now);
   Ledger.expire(Now);
-  if (auto Segment = Journal.next(Now, Ledger.currentToken(Now).Epoch))
+  if (auto Segment = Journal.next(Now, Ledger.currentToken(Now).Epoch,
+                                  Members.reachablePeers().size() + 1))
     act(WriteJournal{std::move(*Segment)});
   Reporter.flush(Now);
   if (StopStartedAt)
@@ -132,14 +136,14 @@
                         const std::optional<HostName> &ToldBy) {
   if (Current && Mark.Number <= Current->Number)
     return;
-  const bool AskedLately =
-      LastFetch && LastFetchMark == Mark && Now - *LastFetch < FetchInterval;
-  if (AskedLately)
+  const bool AskedBefore = LastFetch && LastFetchMark == Mark;
+  if (AskedBefore && Now - *LastFetch < FetchInterval)
     return;
   LastFetch = Now;
   LastFetchMark = Mark;
   act(FetchConfiguration{Mark});
-  if (ToldBy)
+  // The store has had its chance; bytes that came twice would be wasted.
+  if (ToldBy && AskedBefore)
     sendTo(*ToldBy, ConfigurationRequest{Mark});
 }
 
@@ -171,15 +175,26 @@
       {{"generation", std::to_string(Current->Number.value())},
        {"digest", Current->Digest},
        {"services", std::to_string(Current->Content.Services.size())}});
-  broadcast(SoftState{{}, {}, {}, currentMark()});
+  tellSomeOfMark();
 }
 
-void Node::onMemberChanged(const MemberRecord &Record) {
+/// Each host that installs a configuration tells a few, so that all know of it
+/// after as many steps as the logarithm of their number. Pings mend the rest.
+void Node::tellSomeOfMark() {
+  std::vector<MemberRecord> Peers = Members.reachablePeers();
+  std::shuffle(Peers.begin(), Peers.end(), Random);
+  Peers.resize(std::min(Peers.size(), MarkFanOut));
+  for (const MemberRecord &Peer : Peers)
+    sendToAddress(Peer.PeerAddress, SoftState{{}, {}, {}, currentMark()});
+}
+
+void Node::onMemberChanged(const MemberRecord &Record, NewsSource Source) {
   log("member_changed", {{"member", Record.Host.value()},
                          {"status", toString(Record.Status)},
                          {"leaving", Record.Leaving ? "true" : "false"}});
   OwnershipStale = true;
-  broadcast(SoftState{{Record}, {}, {}, std::nullopt});
+  if (Source == NewsSource::FirstHand)
+    broadcast(SoftState{{Record}, {}, {}, std::nullopt});
   if (Record.Status > MemberStatus::Suspect && Record.Host != Self)
     Requests.onHostGone(Now, Record.Host, Record.Life);
 }
--- a/core/node.h
+++ b/core/node.h
@@ -225,8 +225,9 @@
                     const std::optional<ConfigurationMark> &Mark);
   void considerMark(const ConfigurationMark &Mark,
                     const std::optional<HostName> &ToldBy);
-  void onMemberChanged(const MemberRecord &Record);
+  void onMemberChanged(const MemberRecord &Record, NewsSource Source);
   void updateOwnership();
+  void tellSomeOfMark();
   std::vector<HostName> ownersOf(const Service &Subject,
                                  const std::vector<MemberRecord> &Hosts) const;
   void assignService(const Service &Subject,
@@ -248,6 +249,7 @@
   Instant Now;
   /// How long the message that is being handled was on its way.
   Duration MessageDelay{};
+  std::mt19937_64 Random;
   std::vector<Action> Actions;
   std::uint64_t LastSequence = 0;
   std::map<HostName, SenderState> Senders;
--- a/core/node_hooks.cpp
+++ b/core/node_hooks.cpp
@@ -9,8 +9,8 @@
   Hooks.Send = [this](const std::string &Address, PeerBody Body) {
     sendToAddress(Address, std::move(Body));
   };
-  Hooks.Changed = [this](const MemberRecord &Record) {
-    onMemberChanged(Record);
+  Hooks.Changed = [this](const MemberRecord &Record, NewsSource Source) {
+    onMemberChanged(Record, Source);
   };
   Hooks.Extras = [this] { return PingExtras{stateDigest(), currentMark()}; };
   return Hooks;
--- a/core/node_messages.cpp
+++ b/core/node_messages.cpp
@@ -42,7 +42,7 @@
 
 void Node::handle(const HostName &From, const SoftState &Message) {
   for (const MemberRecord &Record : Message.Members)
-    Members.merge(Now, Record);
+    Members.merge(Now, Record, NewsSource::Relayed);
   for (const DrainNotice &Notice : Message.Drains)
     if (Notices.mergeDrain(Now, Notice))
       applyDrain(Notice.Server);
--- a/scripts/experiment.sh
+++ b/scripts/experiment.sh
@@ -20,7 +20,7 @@
 case $name in
 policies) policies=${POLICIES:-round-robin least-in-flight two-choices slot-ownership} ;;
 skewed) policies="least-in-flight slot-ownership" ;;
-crest | trouble | steady) policies="slot-ownership" ;;
+crest | trouble | steady) policies=${POLICIES:-slot-ownership} ;;
 *) sed -n '2,10p' "$0" >&2; exit 2 ;;
 esac
 build=build
