--- a/settings/toml_reader.cpp
+++ b/settings/toml_reader.cpp
@@ -5,6 +5,7 @@
 #include <cctype>
 #include <charconv>
 #include <fmt/format.h>
+#include <optional>
 
 namespace mimosacart {
 
@@ -47,6 +48,52 @@
          Port <= MaxPort;
 }
 
+/// Whether \p Character, at the end of what was read of a line, lies within a
+/// quoted text or a comment.
+class LineScanner {
+public:
+  /// False for a character outside ASCII that no comment or text holds.
+  bool accept(unsigned char Character) {
+    constexpr unsigned char LastAscii = 0x7F;
+    const bool Escaped = Quote == '"' && AfterBackslash;
+    AfterBackslash = Quote == '"' && Character == '\\' && !Escaped;
+    if (InComment || (Quote != 0 && Character != Quote) || Escaped)
+      return true;
+    if (Character == Quote) {
+      Quote = 0;
+      return true;
+    }
+    if (Character == '#')
+      InComment = true;
+    if (Character == '"' || Character == '\'')
+      Quote = Character;
+    return Character <= LastAscii;
+  }
+
+private:
+  bool InComment = false;
+  bool AfterBackslash = false;
+  unsigned char Quote = 0;
+};
+
+/// The first character outside ASCII where a bare key could be. toml++ 3.3
+/// runs into undefined behaviour on some of them, so it never sees them.
+std::optional<toml::source_position> findStrayCharacter(std::string_view Text) {
+  toml::source_position Place{1, 1};
+  LineScanner Scanner;
+  for (const char Character : Text) {
+    if (Character == '\n') {
+      Place = {Place.line + 1, 1};
+      Scanner = LineScanner();
+      continue;
+    }
+    if (!Scanner.accept(static_cast<unsigned char>(Character)))
+      return Place;
+    ++Place.column;
+  }
+  return std::nullopt;
+}
+
 } // namespace
 
 std::string format(const FieldError &Error) {
@@ -77,6 +124,10 @@
 }
 
 Checked<toml::table> parseToml(std::string_view Text, const std::string &File) {
+  if (const auto Stray = findStrayCharacter(Text))
+    return FieldErrors{{File, Stray->line, Stray->column, "",
+                        "found a character outside ASCII, which only comments "
+                        "and quoted texts of one line may hold"}};
   try {
     return toml::parse(Text);
   } catch (const toml::parse_error &Error) {
--- a/tests/settings/settings_test.cpp
+++ b/tests/settings/settings_test.cpp
@@ -69,6 +69,21 @@
   EXPECT_EQ(Read.error()[0].Line, 1U);
 }
 
+TEST(HostSettingsTest, parse_characterOutsideAscii_onlyInCommentsAndTexts) {
+  // The first of these made toml++ 3.3 run into undefined behaviour.
+  for (const char *Text : {"\xef\xbb\xb7# comment\n", "a.\xc3\xa9 = 1\n",
+                           "\"a\".\xc3\xa9 = 1\n", "a = 1 \xc3\xa9\n"}) {
+    const auto Read = parseHostSettings(Text, "f");
+    ASSERT_TRUE(Read.has_error());
+    EXPECT_EQ(Read.error().size(), 1U) << Text;
+    EXPECT_EQ(Read.error()[0].Line, 1U);
+  }
+  const auto Allowed =
+      parseHostSettings(std::string("# Ventilaci\xc3\xb3n\n") + ValidHost, "f");
+  EXPECT_TRUE(Allowed.has_value());
+  EXPECT_TRUE(parseToml("a = \"\\\"\xc3\xb3\" # \xc3\xb3\n", "f").has_value());
+}
+
 constexpr const char *ValidFile = R"(
 [[service]]
 name = "records"
