Let an idle tick cost nothing for services without a queue

Cause: a real idle host with 570 services spent 3.1% of a core (1.4% with 4), most of the 5% that control may take, in walking all services 200 times a second. Change: a tick looks at services that have something queued. After: 1.2% with 570 and 1.3% with 4 (scripts/capacity.sh process, 10 s each).

--- a/core/scheduler.cpp
+++ b/core/scheduler.cpp
@@ -75,6 +75,7 @@
   }
   const ServiceName Name = Item.Service;
   At.Queue.push(std::move(Item));
+  Waiting.insert(Name);
   startQueued(Now, Name, At);
   Use.LoadChanged(Name);
 }
@@ -288,7 +289,14 @@
 }
 
 void Scheduler::tick(Instant Now) {
-  for (auto &[Name, At] : Services) {
+  const std::vector<ServiceName> Looked(Waiting.begin(), Waiting.end());
+  for (const ServiceName &Name : Looked) {
+    const auto Found = Services.find(Name);
+    if (Found == Services.end() || Found->second.Queue.empty()) {
+      Waiting.erase(Name);
+      continue;
+    }
+    ServiceState &At = Found->second;
     const std::vector<WorkItem> Expired = At.Queue.removeExpired(Now);
     for (const WorkItem &Item : Expired)
       finish(Item, AttemptEnd::NotRun, Reason::DeadlinePassed);
--- a/core/scheduler.h
+++ b/core/scheduler.h
@@ -117,7 +117,7 @@
 
 private:
   struct ServiceState {
-    explicit ServiceState(PoolPolicy Policy) : Pool(Policy) {}
+    explicit ServiceState(const PoolPolicy &Policy) : Pool(Policy) {}
     ServerPool Pool;
     WorkQueue Queue;
   };
@@ -141,6 +141,9 @@
   const SchedulerPolicy Policy;
   const Hooks Use;
   std::unordered_map<ServiceName, ServiceState> Services;
+  /// Services whose queue may hold something, so that a tick costs nothing for
+  /// the others.
+  std::set<ServiceName> Waiting;
   std::unordered_map<CallId, RunningCall> Running;
   std::map<AttemptKey, CallId> CallsByAttempt;
   std::uint64_t LastCall = 0;
--- a/tests/core/load_reporter_test.cpp
+++ b/tests/core/load_reporter_test.cpp
@@ -19,7 +19,7 @@
     Hooks.Audience = [](const ServiceName &) {
       return std::vector<HostName>{HostName("b"), HostName("c")};
     };
-    Hooks.Send = [this](const HostName &, PeerBody) { ++Sent; };
+    Hooks.Send = [this](const HostName &, const PeerBody &) { ++Sent; };
     return {Budget, Hooks};
   }
 
--- a/tests/net/http_client_test.cpp
+++ b/tests/net/http_client_test.cpp
@@ -29,7 +29,7 @@
 
   /// Accepts one connection, answers \p Replies on it one request after the
   /// other, and closes it if \p Close.
-  void serve(std::vector<std::string> Replies, bool Close) {
+  void serve(const std::vector<std::string> &Replies, bool Close) {
     Acceptor.async_accept(
         [this, Replies, Close](boost::system::error_code Error,
                                tcp::socket Socket) {
--- a/tests/process/guarantees_test.cpp
+++ b/tests/process/guarantees_test.cpp
@@ -48,6 +48,7 @@
   void sendAll(ProcessFleet &Fleet, std::vector<Booking> &Bookings,
                unsigned Host) {
     std::vector<std::pair<std::string, HttpRequest>> Calls;
+    Calls.reserve(Bookings.size());
     for (const Booking &Each : Bookings)
       Calls.emplace_back(Fleet.callerAddress(Host),
                          Fleet.book(Each.Id, Each.Token));
--- a/tests/process/process_fleet.cpp
+++ b/tests/process/process_fleet.cpp
@@ -62,6 +62,7 @@
 ChildProcess::ChildProcess(const std::vector<std::string> &Arguments,
                            const std::string &Log) {
   std::vector<char *> Raw;
+  Raw.reserve(Arguments.size() + 1);
   for (const std::string &Argument : Arguments)
     Raw.push_back(const_cast<char *>(Argument.c_str()));
   Raw.push_back(nullptr);
