Read files and rank owners in one place each; test two more of membership's points

duplicates of reading a whole file (three) and of choosing among believed loads (three) become one each. New scenarios: two hosts killed together; a whole fleet that starts while the platform is down.

--- a/core/load_view.cpp
+++ b/core/load_view.cpp
@@ -71,16 +71,18 @@
     Known->Load.Queued -= std::min(Known->Load.Queued, Count);
 }
 
-std::optional<HostName> LoadView::withFreeSlot(const ServiceName &Service,
-                                               const HostName &Self) const {
+std::optional<HostName>
+LoadView::best(const ServiceName &Service, const HostName &Self,
+               const std::function<bool(const ServiceLoad &)> &Fits,
+               const std::function<double(const ServiceLoad &)> &Rank) const {
   const auto Found = Services.find(Service);
   if (Found == Services.end())
     return std::nullopt;
   const Belief *Best = nullptr;
   for (const Belief &Known : Found->second) {
-    if (Known.Share.Host == Self || Known.Load.FreeSlots == 0)
+    if (Known.Share.Host == Self || !Fits(Known.Load))
       continue;
-    if (Best == nullptr || Known.Load.FreeSlots > Best->Load.FreeSlots)
+    if (Best == nullptr || Rank(Known.Load) > Rank(Best->Load))
       Best = &Known;
   }
   if (Best == nullptr)
@@ -88,41 +90,27 @@
   return Best->Share.Host;
 }
 
+std::optional<HostName> LoadView::withFreeSlot(const ServiceName &Service,
+                                               const HostName &Self) const {
+  return best(
+      Service, Self, [](const ServiceLoad &Load) { return Load.FreeSlots > 0; },
+      [](const ServiceLoad &Load) { return double(Load.FreeSlots); });
+}
+
 std::optional<HostName> LoadView::leastLoaded(const ServiceName &Service,
                                               const HostName &Self) const {
-  const auto Found = Services.find(Service);
-  if (Found == Services.end())
-    return std::nullopt;
-  const auto Pressure = [](const Belief &Known) {
-    return (Known.Load.Queued + 1.0) / std::max(1U, Known.Load.UsableSlots);
-  };
-  const Belief *Best = nullptr;
-  for (const Belief &Known : Found->second) {
-    if (Known.Share.Host == Self)
-      continue;
-    if (Best == nullptr || Pressure(Known) < Pressure(*Best))
-      Best = &Known;
-  }
-  if (Best == nullptr)
-    return std::nullopt;
-  return Best->Share.Host;
+  return best(
+      Service, Self, [](const ServiceLoad &) { return true; },
+      [](const ServiceLoad &Load) {
+        return -(Load.Queued + 1.0) / std::max(1U, Load.UsableSlots);
+      });
 }
 
 std::optional<HostName> LoadView::withQueue(const ServiceName &Service,
                                             const HostName &Self) const {
-  const auto Found = Services.find(Service);
-  if (Found == Services.end())
-    return std::nullopt;
-  const Belief *Best = nullptr;
-  for (const Belief &Known : Found->second) {
-    if (Known.Share.Host == Self || Known.Load.Queued == 0)
-      continue;
-    if (Best == nullptr || Known.Load.Queued > Best->Load.Queued)
-      Best = &Known;
-  }
-  if (Best == nullptr)
-    return std::nullopt;
-  return Best->Share.Host;
+  return best(
+      Service, Self, [](const ServiceLoad &Load) { return Load.Queued > 0; },
+      [](const ServiceLoad &Load) { return double(Load.Queued); });
 }
 
 bool LoadView::hasUsable(const ServiceName &Service,
--- a/core/load_view.h
+++ b/core/load_view.h
@@ -6,6 +6,7 @@
 #include "core/peer_messages.h"
 #include "core/time.h"
 
+#include <functional>
 #include <optional>
 #include <unordered_map>
 #include <vector>
@@ -66,6 +67,11 @@
     OwnerShare Share;
     ServiceLoad Load;
   };
+  /// The owner other than \p Self that fits and ranks highest.
+  std::optional<HostName>
+  best(const ServiceName &Service, const HostName &Self,
+       const std::function<bool(const ServiceLoad &)> &Fits,
+       const std::function<double(const ServiceLoad &)> &Rank) const;
   Belief *find(const ServiceName &Service, const HostName &Host);
 
   std::unordered_map<ServiceName, std::vector<Belief>> Services;
--- a/ctl/main.cpp
+++ b/ctl/main.cpp
@@ -2,12 +2,11 @@
 /// `mimosacartctl`: the operators' tool.
 #include "ctl/verbs.h"
 
+#include "settings/text_file.h"
+
 #include <fmt/format.h>
 #include <gflags/gflags.h>
 
-#include <fstream>
-#include <sstream>
-
 DEFINE_string(settings, "", "TOML file with the platform and the hosts");
 DEFINE_string(output, "table", "table or json");
 DEFINE_int64(expect_generation, -1,
@@ -54,12 +53,10 @@
     return runValidate(Argument);
   if (FLAGS_settings.empty())
     return fail(fmt::format("{} needs --settings FILE", Verb));
-  std::ifstream File(FLAGS_settings, std::ios::binary);
-  if (!File)
+  const auto Text = readTextFile(FLAGS_settings);
+  if (!Text)
     return fail(fmt::format("{}: the file cannot be read", FLAGS_settings));
-  std::ostringstream Text;
-  Text << File.rdbuf();
-  const auto Settings = parseOperatorSettings(Text.str(), FLAGS_settings);
+  const auto Settings = parseOperatorSettings(*Text, FLAGS_settings);
   if (Settings.has_error()) {
     for (const FieldError &Error : Settings.error())
       fmt::print(stderr, "{}\n", format(Error));
--- a/ctl/verbs.cpp
+++ b/ctl/verbs.cpp
@@ -1,6 +1,7 @@
 #include "ctl/verbs.h"
 
 #include "settings/configuration_file.h"
+#include "settings/text_file.h"
 
 #include <fmt/chrono.h>
 #include <fmt/format.h>
@@ -8,8 +9,6 @@
 
 #include <algorithm>
 #include <chrono>
-#include <fstream>
-#include <sstream>
 #include <thread>
 
 namespace mimosacart {
@@ -20,19 +19,10 @@
 
 constexpr auto InForceInterval = std::chrono::milliseconds(100);
 
-std::optional<std::string> readFile(const std::string &Path) {
-  std::ifstream File(Path, std::ios::binary);
-  if (!File)
-    return std::nullopt;
-  std::ostringstream Text;
-  Text << File.rdbuf();
-  return Text.str();
-}
-
 /// Reads and checks \p Path; prints faults and returns nothing if there are.
 std::optional<std::pair<std::string, Configuration>>
 readConfiguration(const std::string &Path) {
-  const auto Text = readFile(Path);
+  const auto Text = readTextFile(Path);
   if (!Text) {
     fmt::print(stderr, "mimosacartctl: {}: the file cannot be read\n", Path);
     return std::nullopt;
--- a/daemon/main.cpp
+++ b/daemon/main.cpp
@@ -3,13 +3,12 @@
 #include "daemon/entry_host_process.h"
 #include "net/asio.h"
 #include "settings/host_settings.h"
+#include "settings/text_file.h"
 
 #include <fmt/format.h>
 #include <gflags/gflags.h>
 
 #include <csignal>
-#include <fstream>
-#include <sstream>
 
 DEFINE_string(settings, "", "TOML file with the settings of this host");
 DEFINE_bool(check, false, "check the settings, say what would be done, exit");
@@ -24,15 +23,6 @@
 /// A second SIGTERM ended a planned stop early.
 constexpr int ExitForced = 3;
 
-std::optional<std::string> readFile(const std::string &Path) {
-  std::ifstream File(Path, std::ios::binary);
-  if (!File)
-    return std::nullopt;
-  std::ostringstream Text;
-  Text << File.rdbuf();
-  return Text.str();
-}
-
 void printPlan(const HostSettings &Settings) {
   fmt::print("{}: the settings are valid\n"
              "entry host {} in data centre {}\n"
@@ -102,7 +92,7 @@
                "mimosacartd: --settings FILE is required; see --help\n");
     return ExitBadSettings;
   }
-  const auto Text = readFile(FLAGS_settings);
+  const auto Text = readTextFile(FLAGS_settings);
   if (!Text) {
     fmt::print(stderr, "mimosacartd: {}: the file cannot be read\n",
                FLAGS_settings);
--- a/tests/guarantees/fleet_scenarios_test.cpp
+++ b/tests/guarantees/fleet_scenarios_test.cpp
@@ -411,6 +411,31 @@
   EXPECT_EQ(entriesOf("host-a").size(), 1U);
 }
 
+TEST_F(FleetScenariosTest, entries_twoHostsKilledTogether_leavesBothOut) {
+  Fleet.kill("host-b");
+  Fleet.kill("host-d");
+  Fleet.run(WithinSeconds);
+  for (const char *Name : {"host-a", "host-c", "host-e"})
+    EXPECT_EQ(entriesOf(Name),
+              (std::set<std::string>{"host-a", "host-c", "host-e"}));
+}
+
+TEST(FleetStartTest, start_wholeFleetDuringOutage_formsFromSettings) {
+  NodeFleet Fleet(makeTestConfiguration(6, 2));
+  Fleet.PlatformUp = false;
+  for (const char *Suffix : {"a", "b", "c"})
+    Fleet.addHost(fmt::format("host-{}", Suffix), fmt::format("dc-{}", Suffix));
+  Fleet.run(WithinSeconds);
+  for (const char *Name : {"host-a", "host-b", "host-c"}) {
+    EXPECT_EQ(Fleet.node(Name).entries(Fleet.now()).Hosts.size(), 3U);
+    EXPECT_FALSE(Fleet.node(Name).ready());
+  }
+  Fleet.PlatformUp = true;
+  Fleet.run(WithinSeconds);
+  for (const char *Name : {"host-a", "host-b", "host-c"})
+    EXPECT_TRUE(Fleet.node(Name).ready());
+}
+
 TEST_F(FleetScenariosTest, entries_hostFrozenAndWoken_comesBack) {
   freeze("host-b");
   Fleet.run(WithinSeconds);
