Keep a block of ports for each process test; drop parameters that did nothing

Looking for free ports raced with the other test's start, and both began their search 550 process ids apart, which is the number of blocks. Change: a test holds a listener on its block's last port for as long as it runs. The checks are as they were.

--- a/core/membership.cpp
+++ b/core/membership.cpp
@@ -212,7 +212,7 @@
 bool Membership::merge(Instant Now, const MemberRecord &Told,
                        NewsSource Source) {
   if (Told.Host == Self.Host) {
-    refute(Now, Told);
+    refute(Told);
     return false;
   }
   const auto Found = Members.find(Told.Host);
@@ -238,7 +238,7 @@
   return true;
 }
 
-void Membership::refute(Instant Now, const MemberRecord &Told) {
+void Membership::refute(const MemberRecord &Told) {
   if (Told.Life != Self.Life)
     return;
   if (Told.Status == MemberStatus::Alive || Told.Refutation < Self.Refutation)
@@ -246,26 +246,24 @@
   if (Self.Status == MemberStatus::Left)
     return;
   Self.Refutation = Told.Refutation + 1;
-  announceSelf(Now);
+  announceSelf();
 }
 
-void Membership::leave(Instant Now) {
+void Membership::leave() {
   Self.Leaving = true;
   ++Self.Refutation;
-  announceSelf(Now);
+  announceSelf();
 }
 
-void Membership::finish(Instant Now, const HostName &Successor) {
+void Membership::finish(const HostName &Successor) {
   Self.Leaving = true;
   Self.Status = MemberStatus::Left;
   Self.Successor = Successor;
   ++Self.Refutation;
-  announceSelf(Now);
+  announceSelf();
 }
 
-void Membership::announceSelf(Instant /*Now*/) {
-  Use.Changed(Self, NewsSource::FirstHand);
-}
+void Membership::announceSelf() { Use.Changed(Self, NewsSource::FirstHand); }
 
 const MemberRecord *Membership::find(const HostName &Host) const {
   if (Host == Self.Host)
--- a/core/membership.h
+++ b/core/membership.h
@@ -80,10 +80,10 @@
   bool merge(Instant Now, const MemberRecord &Told, NewsSource Source);
 
   /// Marks this host as leaving and tells the others.
-  void leave(Instant Now);
+  void leave();
 
   /// Marks this host as gone, with the host that holds its claims.
-  void finish(Instant Now, const HostName &Successor);
+  void finish(const HostName &Successor);
 
   /// Sets the token epoch that peers are told.
   void setEpoch(std::uint64_t Epoch) { Self.Epoch = Epoch; }
@@ -128,10 +128,10 @@
   void suspect(Instant Now, const HostName &Host);
   void applyStatus(Instant Now, Member &Changed, MemberStatus Status,
                    NewsSource Source);
-  void refute(Instant Now, const MemberRecord &Told);
+  void refute(const MemberRecord &Told);
   void sendPing(Instant Now, const MemberRecord &Target,
                 std::optional<std::pair<HostName, std::uint64_t>> AskedBy);
-  void announceSelf(Instant Now);
+  void announceSelf();
   Ping makePing(std::uint64_t Sequence) const;
 
   MemberRecord Self;
--- a/core/node_stop.cpp
+++ b/core/node_stop.cpp
@@ -17,7 +17,7 @@
     return;
   StopStartedAt = Now;
   log("stop_started", {});
-  Members.leave(Now);
+  Members.leave();
   updateOwnership();
 }
 
@@ -64,7 +64,7 @@
   Done = true;
   const bool Handed = HandoverTo && HandoversOpen == 0;
   log("stop_finished", {{"successor", Handed ? HandoverTo->value() : ""}});
-  Members.finish(Now, Handed ? *HandoverTo : HostName());
+  Members.finish(Handed ? *HandoverTo : HostName());
   act(Stopped{});
 }
 
--- a/core/scheduler.cpp
+++ b/core/scheduler.cpp
@@ -113,7 +113,7 @@
   if (!Server)
     return false;
   const CallId Id(++LastCall);
-  At.Pool.begin(Now, Server->Name);
+  At.Pool.begin(Server->Name);
   CallsByAttempt[keyOf(Item)] = Id;
   const Duration Remaining =
       std::max(Item.ExpiresAt - Now, Duration(std::chrono::milliseconds(1)));
--- a/core/server_pool.cpp
+++ b/core/server_pool.cpp
@@ -129,7 +129,7 @@
   return std::nullopt;
 }
 
-void ServerPool::begin(Instant /*Now*/, const ServerName &Server) {
+void ServerPool::begin(const ServerName &Server) {
   const auto Found = Servers.find(Server);
   if (Found == Servers.end())
     return;
--- a/core/server_pool.h
+++ b/core/server_pool.h
@@ -82,7 +82,7 @@
   std::optional<BackendServer> pick(Instant Now, const ServerName &Avoid,
                                     bool AllowEjected) const;
 
-  void begin(Instant Now, const ServerName &Server);
+  void begin(const ServerName &Server);
   void finish(Instant Now, const ServerName &Server, CallVerdict Verdict,
               Duration ServiceTime);
 
--- a/ctl/verbs.cpp
+++ b/ctl/verbs.cpp
@@ -88,7 +88,7 @@
                      fmt::gmtime(static_cast<std::time_t>(Seconds)));
 }
 
-void printStatus(const std::string &Address, const Json &Status) {
+void printStatus(const Json &Status) {
   fmt::print("{:<16} {:<12} {:<10} generation {:<6} open {:<6} queued {}\n",
              Status.value("host", ""), Status.value("data_centre", ""),
              Status.value("stopping", false) ? "stopping"
@@ -106,7 +106,6 @@
     if (Member.value("status", "") != "alive")
       fmt::print("  sees {:<14} {}\n", Member.value("host", ""),
                  Member.value("status", ""));
-  (void)Address;
 }
 
 } // namespace
@@ -200,7 +199,7 @@
       continue;
     }
     if (Options.Format == OutputFormat::Table)
-      printStatus(Address, *Status);
+      printStatus(*Status);
     All.push_back(*Status);
   }
   if (Options.Format == OutputFormat::Json)
--- a/tests/core/server_pool_test.cpp
+++ b/tests/core/server_pool_test.cpp
@@ -27,7 +27,7 @@
 
   void call(Instant Now, const std::string &Server, CallVerdict Verdict,
             Duration Time = 10ms) {
-    Pool.begin(Now, ServerName(Server));
+    Pool.begin(ServerName(Server));
     Pool.finish(Now, ServerName(Server), Verdict, Time);
   }
 
@@ -45,7 +45,7 @@
   for (unsigned Taken = 0; Taken < 6; ++Taken) {
     const auto Server = Pool.pick(Start, None, false);
     ASSERT_TRUE(Server);
-    Pool.begin(Start, Server->Name);
+    Pool.begin(Server->Name);
   }
   EXPECT_FALSE(Pool.pick(Start, None, false));
   EXPECT_EQ(Pool.freeSlots(Start), 0U);
@@ -117,7 +117,7 @@
 }
 
 TEST_F(ServerPoolTest, assign_serverTakenAway_countsItsCallsOff) {
-  Pool.begin(Start, ServerName("s2"));
+  Pool.begin(ServerName("s2"));
   Pool.assign(Start, makeServers(2), [](const ServerName &) { return false; });
   EXPECT_EQ(Pool.freeSlots(Start), 4U);
   EXPECT_EQ(Pool.view(Start).size(), 3U);
--- a/tests/process/process_fleet.cpp
+++ b/tests/process/process_fleet.cpp
@@ -35,12 +35,34 @@
   return !Error;
 }
 
-/// Loopback addresses of a block of which every port is free. Tests that run
-/// at the same time begin their search at different blocks.
-std::vector<std::string> freeAddresses(std::size_t Count) {
-  asio::io_context Context;
+/// Takes \p Lock to the last port of the block, which nobody else can have at
+/// the same time; looking for free ports alone would race.
+bool lockBlock(tcp::acceptor &Lock, unsigned Block) {
+  const unsigned Port = FirstPort + (Block + 1) * PortBlock - 1;
+  boost::system::error_code Error;
+  Lock.open(tcp::v4(), Error);
+  if (!Error)
+    Lock.bind(
+        {asio::ip::address_v4::loopback(), static_cast<std::uint16_t>(Port)},
+        Error);
+  if (!Error)
+    Lock.listen(1, Error);
+  if (!Error) {
+    fcntl(Lock.native_handle(), F_SETFD, FD_CLOEXEC);
+    return true;
+  }
+  Lock.close(Error);
+  return false;
+}
+
+/// Loopback addresses of a block of which every port is free, and which \p Lock
+/// keeps for the caller.
+std::vector<std::string> takeAddresses(asio::io_context &Context,
+                                       tcp::acceptor &Lock, std::size_t Count) {
   for (unsigned Try = 0; Try < PortBlocks; ++Try) {
     const unsigned Block = (static_cast<unsigned>(getpid()) + Try) % PortBlocks;
+    if (!lockBlock(Lock, Block))
+      continue;
     std::vector<std::string> Result;
     for (unsigned Index = 0; Index < Count; ++Index) {
       const unsigned Port = FirstPort + Block * PortBlock + Index;
@@ -49,6 +71,7 @@
     }
     if (Result.size() == Count)
       return Result;
+    Lock.close();
   }
   return {};
 }
@@ -107,6 +130,8 @@
 struct ProcessFleet::Loop {
   asio::io_context Context;
   HttpClient Http{Context, MaxAnswerBytes};
+  /// Keeps the fleet's block of ports.
+  tcp::acceptor PortLock{Context};
 };
 
 ProcessFleet::ProcessFleet(FleetShape Given)
@@ -114,7 +139,8 @@
   std::string Template =
       (std::filesystem::temp_directory_path() / "mimosacart-XXXXXX").string();
   Folder = mkdtemp(Template.data());
-  auto Free = freeAddresses(1 + Shape.Servers + 3 * Shape.Hosts);
+  auto Free = takeAddresses(Running->Context, Running->PortLock,
+                            1 + Shape.Servers + 3 * Shape.Hosts);
   const auto Take = [&Free] {
     std::string Address = Free.back();
     Free.pop_back();
