Read the test labels whole before looking for one

Cause: grep -q ended the pipe early, so that now and then (once in three calls today) the label was taken for a part of a name, and no test was found.

--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -24,7 +24,9 @@
 
 select=()
 if [[ -n $filter ]]; then
-  if ctest --test-dir "$build" --print-labels | grep -qx "  $filter"; then
+  # Kept first: grep -q would end the pipe early, which counts as a failure.
+  labels=$(ctest --test-dir "$build" --print-labels)
+  if grep -qx "  $filter" <<<"$labels"; then
     select=(-L "^$filter\$")
   else
     select=(-R "$filter")
