--- a/core/membership.cpp
+++ b/core/membership.cpp
@@ -98,7 +98,7 @@
 
 Ping Membership::makePing(std::uint64_t Sequence) const {
   const PingExtras Extras = Use.Extras();
-  return {Sequence, Self, Extras.StateDigest, Extras.Mark};
+  return {Sequence, Self, Extras.StateDigest, Extras.Mark, Extras.Tables};
 }
 
 void Membership::sendPing(
@@ -179,8 +179,8 @@
   const MemberRecord *Sender = find(From);
   if (Sender == nullptr)
     return;
-  Use.Send(Sender->PeerAddress,
-           Ack{Message.Sequence, Self, Extras.StateDigest, Extras.Mark});
+  Use.Send(Sender->PeerAddress, Ack{Message.Sequence, Self, Extras.StateDigest,
+                                    Extras.Mark, Extras.Tables});
 }
 
 void Membership::onAck(Instant Now, const Ack &Message) {
@@ -196,8 +196,9 @@
   if (Answered.AskedBy) {
     const MemberRecord *Asker = find(Answered.AskedBy->first);
     if (Asker != nullptr)
-      Use.Send(Asker->PeerAddress, Ack{Answered.AskedBy->second, Message.Self,
-                                       Message.StateDigest, Message.Mark});
+      Use.Send(Asker->PeerAddress,
+               Ack{Answered.AskedBy->second, Message.Self, Message.StateDigest,
+                   Message.Mark, Message.Tables});
   }
 }
 
--- a/core/membership.h
+++ b/core/membership.h
@@ -35,6 +35,7 @@
 struct PingExtras {
   std::uint64_t StateDigest = 0;
   std::optional<ConfigurationMark> Mark;
+  TableVersions Tables;
 };
 
 /// Where a change of the view comes from.
--- a/core/node.h
+++ b/core/node.h
@@ -220,6 +220,9 @@
   void handle(const HostName &From, const CrashReport &Message);
   void handle(const HostName &From, const CrashReportAck &Message);
   void handle(const HostName &From, const AttemptAnswerAck &Message);
+  /// Rows are handed on among hosts that follow the store only.
+  void handle(const HostName &, const TableRequest &) {}
+  void handle(const HostName &, const TableRows &) {}
 
   void compareState(const HostName &From, std::uint64_t Digest,
                     const std::optional<ConfigurationMark> &Mark);
--- a/core/node_hooks.cpp
+++ b/core/node_hooks.cpp
@@ -12,7 +12,9 @@
   Hooks.Changed = [this](const MemberRecord &Record, NewsSource Source) {
     onMemberChanged(Record, Source);
   };
-  Hooks.Extras = [this] { return PingExtras{stateDigest(), currentMark()}; };
+  Hooks.Extras = [this] {
+    return PingExtras{stateDigest(), currentMark(), {}};
+  };
   return Hooks;
 }
 
--- a/core/peer_messages.cpp
+++ b/core/peer_messages.cpp
@@ -18,6 +18,10 @@
   return "dead";
 }
 
+const char *toString(StoreTable Value) {
+  return Value == StoreTable::Routes ? "routes" : "servers";
+}
+
 const char *nameOf(const PeerBody &Body) {
   static constexpr std::array<const char *, std::variant_size_v<PeerBody>>
       Names = {"ping",
@@ -37,7 +41,9 @@
                "configuration_bytes",
                "crash_report",
                "crash_report_ack",
-               "attempt_answer_ack"};
+               "attempt_answer_ack",
+               "table_request",
+               "table_rows"};
   return Names[Body.index()];
 }
 
--- a/core/peer_messages.h
+++ b/core/peer_messages.h
@@ -65,6 +65,35 @@
   friend bool operator==(const CrashNotice &, const CrashNotice &) = default;
 };
 
+/// Tables of the store that every host follows.
+enum class StoreTable : std::uint8_t { Routes, Servers };
+
+/// Word used for \p Value in logs.
+const char *toString(StoreTable Value);
+
+/// Versions up to which a host knows the followed tables.
+struct TableVersions {
+  std::uint64_t Routes = 0;
+  std::uint64_t Servers = 0;
+
+  std::uint64_t of(StoreTable Table) const {
+    return Table == StoreTable::Routes ? Routes : Servers;
+  }
+  friend bool operator==(const TableVersions &,
+                         const TableVersions &) = default;
+};
+
+/// One row of a followed table; its bytes mean nothing to the core.
+struct TableRow {
+  std::string Key;
+  /// Grows with each write to the store.
+  std::uint64_t Version = 0;
+  bool Removed = false;
+  std::string Value;
+
+  friend bool operator==(const TableRow &, const TableRow &) = default;
+};
+
 /// Asks whether the receiver is alive; carries the sender's own record.
 struct Ping {
   std::uint64_t Sequence = 0;
@@ -72,6 +101,7 @@
   /// Digest of the sender's soft state; a difference asks for a SoftState.
   std::uint64_t StateDigest = 0;
   std::optional<ConfigurationMark> Mark;
+  TableVersions Tables;
 };
 
 /// Answers a Ping; `Sequence` is the ping's.
@@ -80,6 +110,7 @@
   MemberRecord Self;
   std::uint64_t StateDigest = 0;
   std::optional<ConfigurationMark> Mark;
+  TableVersions Tables;
 };
 
 /// Asks the receiver to ping \p Target on the sender's behalf.
@@ -227,12 +258,27 @@
   std::string Bytes;
 };
 
+/// Asks a peer for rows that the sender's store connection has not brought.
+struct TableRequest {
+  StoreTable Table = StoreTable::Routes;
+  std::uint64_t After = 0;
+};
+
+/// Rows as the sender knows them up to a version.
+struct TableRows {
+  StoreTable Table = StoreTable::Routes;
+  std::uint64_t UpTo = 0;
+  /// All rows of the table, instead of what changed.
+  bool Whole = false;
+  std::vector<TableRow> Rows;
+};
+
 using PeerBody =
     std::variant<Ping, Ack, PingRequest, SoftState, LoadReport,
                  ForwardedAttempt, AttemptAnswer, CancelForwarded, WorkWanted,
                  ClaimCall, ClaimAnswer, Handover, HandoverAck,
                  ConfigurationRequest, ConfigurationBytes, CrashReport,
-                 CrashReportAck, AttemptAnswerAck>;
+                 CrashReportAck, AttemptAnswerAck, TableRequest, TableRows>;
 
 /// One message with its sender.
 struct PeerMessage {
--- a/core/request.h
+++ b/core/request.h
@@ -27,6 +27,8 @@
   std::string Method;
   /// Path and query, as sent.
   std::string Target;
+  /// IP address of the caller, if known.
+  std::string Caller;
   std::vector<HeaderField> Headers;
   std::string Body;
   /// Value of `Idempotency-Key`, if sent.
--- a/core/text.h
+++ b/core/text.h
@@ -2,8 +2,12 @@
 /// Small helpers for texts.
 #pragma once
 
+#include "core/time.h"
+
 #include <algorithm>
 #include <cctype>
+#include <charconv>
+#include <optional>
 #include <string_view>
 
 namespace mimosacart {
@@ -16,4 +20,19 @@
                     });
 }
 
+/// Reads a number that is not negative with its unit, `ms` or `s`.
+inline std::optional<Duration> parseDuration(std::string_view Text) {
+  constexpr double MicrosecondsPerMs = 1e3;
+  constexpr double MicrosecondsPerSecond = 1e6;
+  double Number = 0;
+  const char *End = Text.data() + Text.size();
+  const auto Read = std::from_chars(Text.data(), End, Number);
+  const std::string_view Unit(Read.ptr,
+                              static_cast<std::size_t>(End - Read.ptr));
+  if (Read.ec != std::errc() || Number < 0 || (Unit != "ms" && Unit != "s"))
+    return std::nullopt;
+  const double Scale = Unit == "s" ? MicrosecondsPerSecond : MicrosecondsPerMs;
+  return Duration(static_cast<Duration::rep>(Number * Scale));
+}
+
 } // namespace mimosacart
--- a/daemon/configuration_watcher.cpp
+++ b/daemon/configuration_watcher.cpp
@@ -12,8 +12,8 @@
 
 ConfigurationWatcher::ConfigurationWatcher(asio::io_context &Context,
                                            PlatformClient &Platform,
-                                           Duration Interval,
-                                           const EventLog &Log, Hooks Use)
+                                           Duration Interval, EventLog &Log,
+                                           Hooks Use)
     : Platform(Platform), Interval(Interval), Log(Log), Use(std::move(Use)),
       PollTimer(std::make_unique<Timer>(Context)) {}
 
--- a/daemon/configuration_watcher.h
+++ b/daemon/configuration_watcher.h
@@ -26,7 +26,7 @@
 
   ConfigurationWatcher(boost::asio::io_context &Context,
                        PlatformClient &Platform, Duration Interval,
-                       const EventLog &Log, Hooks Use);
+                       EventLog &Log, Hooks Use);
   ~ConfigurationWatcher();
   ConfigurationWatcher(const ConfigurationWatcher &) = delete;
   ConfigurationWatcher &operator=(const ConfigurationWatcher &) = delete;
@@ -48,7 +48,7 @@
 
   PlatformClient &Platform;
   const Duration Interval;
-  const EventLog &Log;
+  EventLog &Log;
   const Hooks Use;
   std::unique_ptr<Timer> PollTimer;
   bool PlatformReachable = true;
--- /dev/null
+++ b/daemon/direct_metrics.cpp
@@ -0,0 +1,75 @@
+#include "daemon/direct_metrics.h"
+
+#include <prometheus/text_serializer.h>
+
+#include <sstream>
+
+namespace mimosacart {
+
+namespace {
+
+const prometheus::Histogram::BucketBoundaries TotalBuckets = {
+    0.005, 0.01, 0.025, 0.05, 0.1, 0.2, 0.3, 0.4, 0.6, 0.8, 1.2, 2, 4, 8};
+
+} // namespace
+
+DirectMetrics::DirectMetrics()
+    : Requests(prometheus::BuildCounter()
+                   .Name("mimosacart_requests_total")
+                   .Help("Requests answered, by outcome and reason")
+                   .Register(Registry)),
+      Seconds(prometheus::BuildHistogram()
+                  .Name("mimosacart_request_seconds")
+                  .Help("Time from arrival to answer")
+                  .Register(Registry)),
+      State(prometheus::BuildGauge()
+                .Name("mimosacart_state")
+                .Help("Numbers that go up and down, by name")
+                .Register(Registry)) {}
+
+void DirectMetrics::countReply(const FlowResult &Result) {
+  const bool Answered = Result.Reply != nullptr;
+  Requests
+      .Add({{"service", Result.Service.value()},
+            {"kind", Result.Route},
+            {"outcome", Answered ? "answered" : toString(Result.Refused.What)},
+            {"status", Answered ? std::to_string(Result.Reply->Status) : ""},
+            {"reason", toString(Result.Refused.Why)}})
+      .Increment();
+  Seconds
+      .Add({{"service", Result.Service.value()}, {"kind", Result.Route}},
+           TotalBuckets)
+      .Observe(toSeconds(Result.Total));
+}
+
+std::string DirectMetrics::render(const DirectNode &Core,
+                                  const PeerTransportCounters &Transport,
+                                  std::uint64_t StoreCalls,
+                                  std::size_t CallerConnections) {
+  const auto Set = [this](const std::string &Name, auto Value) {
+    State.Add({{"name", Name}}).Set(static_cast<double>(Value));
+  };
+  const FlowCounters &Counters = Core.counters();
+  Set("server_calls", Counters.Calls);
+  Set("probes", Counters.Probes);
+  Set("repeats", Counters.Repeats);
+  Set("hedges", Counters.Hedges);
+  Set("held", Counters.Held);
+  Set("open_requests", Core.openRequests());
+  Set("servers", Core.servers());
+  Set("hosts", Core.hosts());
+  Set("ready", Core.ready() ? 1 : 0);
+  Set("configuration_version", Core.configurationVersion());
+  Set("routes_table_version", Core.tableVersion(StoreTable::Routes));
+  Set("servers_table_version", Core.tableVersion(StoreTable::Servers));
+  Set("store_calls", StoreCalls);
+  Set("peer_messages_sent", Transport.MessagesSent);
+  Set("peer_bytes_sent", Transport.BytesSent);
+  Set("peer_messages_not_sent", Transport.MessagesNotSent);
+  Set("caller_connections", CallerConnections);
+  std::ostringstream Text;
+  prometheus::TextSerializer().Serialize(Text, Registry.Collect());
+  return Text.str();
+}
+
+} // namespace mimosacart
--- a/daemon/entry_host_process.cpp
+++ b/daemon/entry_host_process.cpp
@@ -148,6 +148,15 @@
   carryOut();
 }
 
+void EntryHostProcess::reload(const HostSettings &Next) {
+  Log.setLevel(parseLogLevel(Next.LogLevel));
+  Log.info("reloaded", {{"log_level", Next.LogLevel}});
+}
+
+void EntryHostProcess::rejectReload(const std::string &Why) {
+  Log.error("reload_rejected", {{"why", Why}});
+}
+
 void EntryHostProcess::scheduleTick() {
   Ticks->Value.expires_after(TickInterval);
   Ticks->Value.async_wait([this](boost::system::error_code Error) {
@@ -155,6 +164,7 @@
       return;
     Core.onTick(now());
     carryOut();
+    Log.flush();
     if (!Finished)
       scheduleTick();
   });
--- a/daemon/entry_host_process.h
+++ b/daemon/entry_host_process.h
@@ -35,6 +35,10 @@
   boost::outcome_v2::result<void, std::error_code> start();
   /// Begins a planned stop.
   void stop();
+  /// Takes over settings that may change while the process runs.
+  void reload(const HostSettings &Next);
+  /// New settings could not be used; those in force stay.
+  void rejectReload(const std::string &Why);
 
 private:
   struct Timer;
--- a/daemon/main.cpp
+++ b/daemon/main.cpp
@@ -1,5 +1,6 @@
 /// \file
 /// `mimosacartd`: one entry host.
+#include "daemon/direct_host_process.h"
 #include "daemon/entry_host_process.h"
 #include "net/asio.h"
 #include "settings/host_settings.h"
@@ -9,6 +10,9 @@
 #include <gflags/gflags.h>
 
 #include <csignal>
+#include <filesystem>
+#include <functional>
+#include <optional>
 
 DEFINE_string(settings, "", "TOML file with the settings of this host");
 DEFINE_bool(check, false, "check the settings, say what would be done, exit");
@@ -37,29 +41,91 @@
              fmt::join(Settings.SeedAddresses, ", "));
 }
 
-int serve(const HostSettings &Settings) {
+/// Reads and checks the settings file; errors are told by \p Complain.
+std::optional<HostSettings>
+readSettings(const std::function<void(const std::string &)> &Complain) {
+  const auto Text = readTextFile(FLAGS_settings);
+  if (!Text) {
+    Complain(FLAGS_settings + ": the file cannot be read");
+    return std::nullopt;
+  }
+  const auto Settings = parseHostSettings(*Text, FLAGS_settings);
+  if (Settings.has_value())
+    return Settings.value();
+  for (const FieldError &Error : Settings.error())
+    Complain(format(Error));
+  return std::nullopt;
+}
+
+/// Tells of changes of the settings file, with or without a signal.
+class SettingsWatch {
+public:
+  SettingsWatch(asio::io_context &Context, std::function<void()> Changed)
+      : Timer(Context), Changed(std::move(Changed)), Seen(lastWrite()) {
+    watch();
+  }
+
+private:
+  static std::filesystem::file_time_type lastWrite() {
+    std::error_code Missing;
+    return std::filesystem::last_write_time(FLAGS_settings, Missing);
+  }
+
+  void watch() {
+    Timer.expires_after(CheckInterval);
+    Timer.async_wait([this](boost::system::error_code Error) {
+      if (Error)
+        return;
+      const auto Latest = lastWrite();
+      if (Latest != Seen) {
+        Seen = Latest;
+        Changed();
+      }
+      watch();
+    });
+  }
+
+  static constexpr auto CheckInterval = std::chrono::seconds(2);
+
+  asio::steady_timer Timer;
+  const std::function<void()> Changed;
+  std::filesystem::file_time_type Seen;
+};
+
+template <typename Process> int serve(const HostSettings &Settings) {
   asio::io_context Context(1);
   int ExitStatus = ExitOk;
-  EntryHostProcess Host(Context, Settings, [&Context] { Context.stop(); });
+  Process Host(Context, Settings, [&Context] { Context.stop(); });
   const auto Started = Host.start();
   if (Started.has_error()) {
     fmt::print(stderr, "mimosacartd: an address cannot be used: {}\n",
                Started.error().message());
     return ExitFailed;
   }
-  asio::signal_set Signals(Context, SIGTERM, SIGINT);
+  const auto Reload = [&Host] {
+    const auto Next = readSettings(
+        [&Host](const std::string &Why) { Host.rejectReload(Why); });
+    if (Next)
+      Host.reload(*Next);
+  };
+  const SettingsWatch Watch(Context, Reload);
+  asio::signal_set Signals(Context, SIGTERM, SIGINT, SIGHUP);
   unsigned Received = 0;
   std::function<void(boost::system::error_code, int)> OnSignal =
-      [&](boost::system::error_code Error, int /*Number*/) {
+      [&](boost::system::error_code Error, int Number) {
         if (Error)
           return;
+        Signals.async_wait(OnSignal);
+        if (Number == SIGHUP) {
+          Reload();
+          return;
+        }
         if (++Received > 1) {
           ExitStatus = ExitForced;
           Context.stop();
           return;
         }
         Host.stop();
-        Signals.async_wait(OnSignal);
       };
   Signals.async_wait(OnSignal);
   Context.run();
@@ -92,21 +158,17 @@
                "mimosacartd: --settings FILE is required; see --help\n");
     return ExitBadSettings;
   }
-  const auto Text = readTextFile(FLAGS_settings);
-  if (!Text) {
-    fmt::print(stderr, "mimosacartd: {}: the file cannot be read\n",
-               FLAGS_settings);
-    return ExitBadSettings;
-  }
-  const auto Settings = parseHostSettings(*Text, FLAGS_settings);
-  if (Settings.has_error()) {
-    for (const FieldError &Error : Settings.error())
-      fmt::print(stderr, "{}\n", format(Error));
+  const auto Settings = readSettings([](const std::string &Why) {
+    fmt::print(stderr, "mimosacartd: {}\n", Why);
+  });
+  if (!Settings)
     return ExitBadSettings;
-  }
   if (FLAGS_check) {
-    printPlan(Settings.value());
+    printPlan(*Settings);
     return ExitOk;
   }
-  return serve(Settings.value());
+  // A reader of the logs that goes away must not end the process.
+  std::signal(SIGPIPE, SIG_IGN);
+  return Settings->Direct ? serve<DirectHostProcess>(*Settings)
+                          : serve<EntryHostProcess>(*Settings);
 }
--- /dev/null
+++ b/daemon/table_follower.cpp
@@ -0,0 +1,143 @@
+#include "daemon/table_follower.h"
+
+#include "net/asio.h"
+
+#include <algorithm>
+
+namespace mimosacart {
+
+namespace {
+
+/// A wait for changes lasts so long at most.
+constexpr Duration WaitTime = std::chrono::seconds(20);
+/// Changes that come soon after one another are fetched together.
+constexpr Duration GatherTime = std::chrono::milliseconds(150);
+constexpr Duration FirstRetry = std::chrono::milliseconds(100);
+constexpr Duration LastRetry = std::chrono::milliseconds(800);
+/// Retries are spread over this part of their delay.
+constexpr double RetrySpread = 0.5;
+
+} // namespace
+
+struct TableFollower::Timer {
+  explicit Timer(asio::io_context &Context) : Value(Context) {}
+  asio::steady_timer Value;
+};
+
+TableFollower::TableFollower(asio::io_context &Context, StoreClient &Store,
+                             std::string Table, EventLog &Log, Hooks Use)
+    : Store(Store), Table(std::move(Table)), Log(Log), Use(std::move(Use)),
+      Random(std::random_device()()), Delay(std::make_unique<Timer>(Context)) {}
+
+TableFollower::~TableFollower() = default;
+
+void TableFollower::stop() {
+  Stopped = true;
+  Delay->Value.cancel();
+  if (Waiting)
+    Waiting->cancel();
+  Waiting.reset();
+}
+
+void TableFollower::readFrom(const std::string &Key) {
+  ++Calls;
+  if (Key.empty())
+    Pages.clear();
+  Store.readRows(Table, Key, [this, Key](StoreResult<StoreRows> Result) {
+    if (Stopped)
+      return;
+    if (Result.has_error()) {
+      onFailure(Result.error());
+      return;
+    }
+    if (Key.empty())
+      PagesVersion = Result.value().Version;
+    onPage(std::move(Result.value()));
+  });
+}
+
+void TableFollower::onPage(StoreRows Page) {
+  const bool More = Page.More && !Page.Rows.empty();
+  std::move(Page.Rows.begin(), Page.Rows.end(), std::back_inserter(Pages));
+  if (More) {
+    // The least key that is greater than the last one read.
+    readFrom(Pages.back().Key + '\x01');
+    return;
+  }
+  if (Failures > 0) {
+    Log.info("store_regained",
+             {{"table", Table}, {"failures", std::to_string(Failures)}});
+    Use.Regained();
+  }
+  Failures = 0;
+  if (!Use.Whole(Pages, PagesVersion)) {
+    Log.info("store_read_is_old",
+             {{"table", Table}, {"version", std::to_string(PagesVersion)}});
+    later(FirstRetry, [this] { readFrom(""); });
+    return;
+  }
+  Version = PagesVersion;
+  Log.info("table_read", {{"table", Table},
+                          {"rows", std::to_string(Pages.size())},
+                          {"version", std::to_string(Version)}});
+  Pages.clear();
+  awaitChanges();
+}
+
+void TableFollower::awaitChanges() {
+  ++Calls;
+  Waiting = Store.awaitChanges(Table, Version, WaitTime,
+                               [this](StoreResult<StoreRows> Result) {
+                                 if (!Stopped)
+                                   onChanges(std::move(Result));
+                               });
+}
+
+void TableFollower::onChanges(StoreResult<StoreRows> Result) {
+  if (Result.has_error() && Result.error() == StoreError::HistoryGone) {
+    Log.info("store_history_gone",
+             {{"table", Table}, {"after", std::to_string(Version)}});
+    readFrom("");
+    return;
+  }
+  if (Result.has_error()) {
+    onFailure(Result.error());
+    return;
+  }
+  const StoreRows &Changes = Result.value();
+  Version = std::max(Version, Changes.Version);
+  Use.Changed(Changes.Rows, Version);
+  if (Changes.Rows.empty())
+    awaitChanges();
+  else
+    later(GatherTime, [this] { awaitChanges(); });
+}
+
+void TableFollower::onFailure(const std::error_code &Error) {
+  if (Failures++ == 0) {
+    Log.error("store_lost", {{"table", Table},
+                             {"why", Error.message()},
+                             {"version", std::to_string(Version)}});
+    Use.Lost();
+  }
+  Duration Pause = FirstRetry;
+  for (unsigned Step = 1; Step < Failures && Pause < LastRetry; ++Step)
+    Pause *= 2;
+  Pause = std::min(Pause, LastRetry);
+  const double Spread =
+      std::uniform_real_distribution<double>(0, RetrySpread)(Random);
+  Pause += Duration(
+      static_cast<Duration::rep>(static_cast<double>(Pause.count()) * Spread));
+  later(Pause, [this] { readFrom(""); });
+}
+
+void TableFollower::later(Duration Pause, std::function<void()> Next) {
+  Delay->Value.expires_after(Pause);
+  Delay->Value.async_wait(
+      [this, Next = std::move(Next)](boost::system::error_code Error) {
+        if (!Error && !Stopped)
+          Next();
+      });
+}
+
+} // namespace mimosacart
--- /dev/null
+++ b/direct/direct_node.cpp
@@ -0,0 +1,261 @@
+#include "direct/direct_node.h"
+
+#include "core/hash.h"
+
+#include <algorithm>
+
+namespace mimosacart {
+
+namespace {
+
+/// Callers are told to come back after this while nothing can be served.
+constexpr Duration NotReadyRetryAfter = std::chrono::milliseconds(300);
+
+std::uint64_t fingerprintOf(const std::string &Host,
+                            const CallerRequest &Request) {
+  std::uint64_t Hash = stableHash(Host, 0);
+  Hash = stableHash(Request.Method, Hash);
+  Hash = stableHash(Request.Target, Hash);
+  Hash = stableHash(Request.Caller, Hash);
+  // 0 stands for no fingerprint.
+  return stableHash(Request.Body, Hash) | 1U;
+}
+
+} // namespace
+
+DirectNode::DirectNode(Instant Start, DirectNodeSettings Given, Hooks Hooked)
+    : Settings(std::move(Given)), Use(std::move(Hooked)), Now(Start),
+      Registry([this](const DiscoveredServer &Server, ServerChange Change) {
+        onServerChanged(Server, Change);
+      }),
+      RouteRows([this](const TableRow &Row) { onRouteRow(Row); }),
+      ServerRows([this](const TableRow &Row) { onServerRow(Row); }),
+      Fleet(Settings.Fleet,
+            {{StoreTable::Routes, &RouteRows},
+             {StoreTable::Servers, &ServerRows}},
+            {Use.Send, Use.Log}),
+      Flow(Settings.Flow, Settings.Retries,
+           ServerRanking(Settings.Ranking, Settings.Fleet.Self.DataCentre,
+                         Settings.Fleet.RandomSeed),
+           Registry, Board, Start, flowHooks()) {}
+
+RequestFlow::Hooks DirectNode::flowHooks() {
+  RequestFlow::Hooks Result;
+  Result.Call = Use.Call;
+  Result.Cancel = Use.Cancel;
+  Result.Probe = Use.Probe;
+  Result.Finished = Use.Reply;
+  Result.Hosts = [this] { return Fleet.hosts(); };
+  Result.Crashes = [this](std::uint64_t Fingerprint) {
+    return Fleet.crashes(Fingerprint);
+  };
+  Result.CrashSeen = [this](Instant At, std::uint64_t Fingerprint,
+                            const ServerName &Server) {
+    Use.Log("crash_seen", {{"fingerprint", std::to_string(Fingerprint)},
+                           {"server", Server.value()}});
+    Fleet.addCrash(At, Fingerprint, Server);
+  };
+  Result.Log = Use.Log;
+  return Result;
+}
+
+void DirectNode::onRequest(Instant At, RequestId Id, const std::string &Host,
+                           RequestPtr Request) {
+  Now = At;
+  if (!Routes) {
+    refuse(Now, Id, *Request, Reason::NoConfiguration);
+    return;
+  }
+  const HostRoute *Route = Routes->find(Host, Request->Target);
+  if (Route == nullptr) {
+    refuse(Now, Id, *Request, Reason::NoRoute);
+    return;
+  }
+  FlowRequest Next;
+  Next.Id = Id;
+  Next.Route = *Route;
+  const ServiceName Service = Split.next(*Route);
+  const auto Known = Configuration->Services.find(Service);
+  Next.Service = Known == Configuration->Services.end()
+                     ? ServiceSettings{Service, "/", 0}
+                     : Known->second;
+  const Duration Allowed =
+      std::min(Request->Timeout.value_or(Route->Timeout), Route->Timeout);
+  Next.Arrived = Now;
+  Next.Deadline = Now + Allowed;
+  Next.Fingerprint = fingerprintOf(Host, *Request);
+  Next.Request = std::move(Request);
+  Use.Log("arrived",
+          {{"request", Next.Request->TraceId},
+           {"route", Route->Name},
+           {"service", Service.value()},
+           {"configuration", std::to_string(Configuration->Version)},
+           {"allowed_ms",
+            std::to_string(
+                std::chrono::duration_cast<std::chrono::milliseconds>(Allowed)
+                    .count())}});
+  Flow.start(Now, std::move(Next));
+}
+
+void DirectNode::refuse(Instant /*Now*/, RequestId Id,
+                        const CallerRequest &Request, Reason Why) {
+  const Duration RetryAfter =
+      Why == Reason::NoRoute ? Duration::zero() : NotReadyRetryAfter;
+  Use.Log("reply", {{"request", Request.TraceId},
+                    {"outcome", toString(Outcome::NotRun)},
+                    {"reason", toString(Why)},
+                    {"configuration", std::to_string(configurationVersion())}});
+  FlowResult Result;
+  Result.Id = Id;
+  Result.Refused = {Outcome::NotRun, Why, RetryAfter};
+  Use.Reply(Result);
+}
+
+void DirectNode::onCallerGone(Instant At, RequestId Id) {
+  Now = At;
+  Flow.abandon(Now, Id);
+}
+
+void DirectNode::onCallResult(Instant At, CallId Id,
+                              const ServerCallResult &Result) {
+  Now = At;
+  Flow.onCallResult(Now, Id, Result);
+}
+
+void DirectNode::onProbeResult(Instant At, CallId Id,
+                               const ProbeResult &Result) {
+  Now = At;
+  Flow.onProbeResult(Now, Id, Result);
+}
+
+void DirectNode::onPeerMessage(Instant At, const PeerMessage &Message) {
+  Now = At;
+  Fleet.onMessage(Now, Message);
+}
+
+void DirectNode::onRows(Instant At, StoreTable Table,
+                        const std::vector<TableRow> &Rows,
+                        std::uint64_t Version) {
+  Now = At;
+  mirror(Table).apply(Rows, Version);
+}
+
+bool DirectNode::onWholeTable(Instant At, StoreTable Table,
+                              const std::vector<TableRow> &Rows,
+                              std::uint64_t Version) {
+  Now = At;
+  return mirror(Table).replace(Rows, Version);
+}
+
+void DirectNode::onStoreLost(Instant At) {
+  Now = At;
+  StoreAway = true;
+}
+
+void DirectNode::onStoreRegained(Instant At) {
+  Now = At;
+  StoreAway = false;
+  StoreRegainedAt = Now;
+}
+
+bool DirectNode::interrupted() const {
+  return StoreAway || (StoreRegainedAt &&
+                       Now - *StoreRegainedAt < Settings.InterruptionMemory);
+}
+
+void DirectNode::onPeerAddresses(std::vector<std::string> Addresses) {
+  Fleet.setSeeds(std::move(Addresses));
+}
+
+void DirectNode::onStop(Instant At) {
+  Now = At;
+  Stopping = true;
+  Fleet.leave(Now);
+}
+
+void DirectNode::onRouteRow(const TableRow &Row) {
+  // An operator never takes the configuration away; one that is gone leaves
+  // the last one in force.
+  if (Row.Removed)
+    return;
+  auto Read = Use.ReadConfiguration(Row);
+  if (const auto *Unusable = std::get_if<UnusableRow>(&Read)) {
+    Use.Log("configuration_unusable",
+            {{"row", Row.Key},
+             {"row_version", std::to_string(Row.Version)},
+             {"why", Unusable->Why},
+             {"in_force", std::to_string(configurationVersion())}});
+    return;
+  }
+  const auto &Next = std::get<RouteConfigurationPtr>(Read);
+  if (Next == nullptr)
+    return;
+  if (Routes && Next->Version < Configuration->Version) {
+    Use.Log("configuration_older",
+            {{"told", std::to_string(Next->Version)},
+             {"in_force", std::to_string(Configuration->Version)}});
+    return;
+  }
+  Use.Log("configuration_in_force",
+          {{"configuration", std::to_string(Next->Version)},
+           {"before", std::to_string(configurationVersion())},
+           {"row_version", std::to_string(Row.Version)},
+           {"routes", std::to_string(Next->Routes.size())},
+           {"services", std::to_string(Next->Services.size())}});
+  Configuration = Next;
+  Routes.emplace(Next);
+  Use.Configured(*Next);
+}
+
+void DirectNode::onServerRow(const TableRow &Row) {
+  if (Row.Removed) {
+    Registry.remove(Now, ServerName(Row.Key), interrupted());
+    return;
+  }
+  const auto Read = Use.ReadServer(Row);
+  if (const auto *Unusable = std::get_if<UnusableRow>(&Read)) {
+    Use.Log("server_entry_unusable",
+            {{"server", Row.Key},
+             {"row_version", std::to_string(Row.Version)},
+             {"why", Unusable->Why}});
+    Registry.remove(Now, ServerName(Row.Key), false);
+    return;
+  }
+  Registry.update(Now, std::get<DiscoveredServer>(Read));
+}
+
+void DirectNode::onServerChanged(const DiscoveredServer &Server,
+                                 ServerChange Change) {
+  Use.Log("server_changed", {{"server", Server.Id.value()},
+                             {"change", toString(Change)},
+                             {"service", Server.Service.value()},
+                             {"address", Server.Address},
+                             {"draining", Server.Draining ? "yes" : "no"},
+                             {"born", std::to_string(Server.Born)}});
+  if (Change == ServerChange::Joined || Change == ServerChange::Reborn)
+    Board.reset(Now, Server);
+  if (Change == ServerChange::Gone)
+    Board.forget(Server.Id);
+}
+
+void DirectNode::tick(Instant At) {
+  Now = At;
+  Registry.tick(Now);
+  Fleet.tick(Now);
+  Flow.tick(Now);
+}
+
+Instant DirectNode::nextTick() const {
+  return std::min({Registry.nextTick(), Fleet.nextTick(), Flow.nextTick()});
+}
+
+std::vector<std::string> DirectNode::callerAddresses() const {
+  std::vector<std::string> Result;
+  for (const MemberRecord &Host : Fleet.serving())
+    Result.push_back(Host.CallerAddress);
+  std::sort(Result.begin(), Result.end());
+  Result.erase(std::unique(Result.begin(), Result.end()), Result.end());
+  return Result;
+}
+
+} // namespace mimosacart
--- /dev/null
+++ b/direct/fleet_view.h
@@ -0,0 +1,97 @@
+/// \file
+/// What entry hosts tell each other: who is there, which requests crash
+/// servers, and rows that a host could not read from the store itself.
+#pragma once
+
+#include "core/membership.h"
+#include "core/soft_notices.h"
+#include "direct/flow_events.h"
+#include "direct/table_mirror.h"
+
+#include <functional>
+#include <map>
+#include <vector>
+
+namespace mimosacart {
+
+/// What a host is told of itself and its fleet at its start.
+struct FleetSettings {
+  MemberRecord Self;
+  std::vector<std::string> Seeds;
+  MembershipTimes Times;
+  std::uint64_t RandomSeed = 1;
+  /// How long a peer may be ahead before its rows are asked for.
+  Duration HandOnAfter = std::chrono::milliseconds(300);
+};
+
+/// This host's side of the exchange between entry hosts.
+class FleetView {
+public:
+  struct Hooks {
+    std::function<void(const std::string &Address, const PeerMessage &)> Send;
+    FlowLogHook Log;
+  };
+
+  FleetView(FleetSettings Settings, std::map<StoreTable, TableMirror *> Tables,
+            Hooks Use);
+
+  void onMessage(Instant Now, const PeerMessage &Message);
+  void tick(Instant Now);
+  Instant nextTick() const { return NextTick; }
+
+  /// Addresses of peers as the store lists them.
+  void setSeeds(std::vector<std::string> Addresses);
+  /// This host will stop: callers are to use the others.
+  void leave(Instant Now);
+  /// The last message of this host.
+  void finish(Instant Now);
+
+  /// Hosts that serve callers, this one included unless it leaves.
+  std::vector<MemberRecord> serving() const { return Members.working(); }
+  std::size_t hosts() const;
+
+  void addCrash(Instant Now, std::uint64_t Fingerprint,
+                const ServerName &Server);
+  std::size_t crashes(std::uint64_t Fingerprint) const;
+
+private:
+  /// A table of which a peer knows a later version than this host.
+  struct Lag {
+    Instant Since{};
+    HostName Peer;
+    std::uint64_t Version = 0;
+  };
+
+  Membership::Hooks membershipHooks();
+  void send(const std::string &Address, PeerBody Body);
+  void sendTo(const HostName &Host, PeerBody Body);
+  void broadcast(const PeerBody &Body);
+  void compare(const HostName &From, std::uint64_t Digest,
+               const TableVersions &Theirs);
+  void noteVersions(const HostName &From, const TableVersions &Theirs);
+  void askForRows();
+  void onMemberChanged(const MemberRecord &Record, NewsSource Source);
+  TableVersions versions() const;
+  std::uint64_t digest() const { return Members.digest() + Notices.digest(); }
+
+  void handle(const HostName &From, const Ping &Message);
+  void handle(const HostName &From, const Ack &Message);
+  void handle(const HostName &From, const PingRequest &Message);
+  void handle(const HostName &From, const SoftState &Message);
+  void handle(const HostName &From, const TableRequest &Message);
+  void handle(const HostName &From, const TableRows &Message);
+
+  const FleetSettings Settings;
+  const std::map<StoreTable, TableMirror *> Tables;
+  const Hooks Use;
+  /// Time of the event that is being handled.
+  Instant Now{};
+  Instant NextTick{};
+  std::uint64_t LastSequence = 0;
+  std::uint64_t LastEvent = 0;
+  SoftNotices Notices;
+  Membership Members;
+  std::map<StoreTable, Lag> Lags;
+};
+
+} // namespace mimosacart
--- /dev/null
+++ b/direct/request_flow.h
@@ -0,0 +1,172 @@
+/// \file
+/// The way of each request: which server it is sent to and when, what may be
+/// repeated, and when it is given up.
+#pragma once
+
+#include "direct/flow_events.h"
+#include "direct/load_board.h"
+#include "direct/retry_allowance.h"
+#include "direct/server_ranking.h"
+#include "direct/server_registry.h"
+#include "direct/usual_times.h"
+
+#include <functional>
+#include <map>
+#include <set>
+#include <unordered_map>
+
+namespace mimosacart {
+
+/// Constants of RequestFlow.
+struct FlowPolicy {
+  /// Servers asked for their load in the first round and in later ones.
+  std::size_t FirstProbes = 2;
+  std::size_t FurtherProbes = 3;
+  /// Rounds of probes before the best server known is taken.
+  unsigned ProbeRounds = 3;
+  /// Time for the answers of one round.
+  Duration ProbeWait = std::chrono::milliseconds(15);
+  Duration ProbeTimeout = std::chrono::milliseconds(400);
+  /// While every server is full, requests are held for this part of their
+  /// objective and probes are repeated.
+  double HoldShare = 0.12;
+  Duration HoldInterval = std::chrono::milliseconds(20);
+  /// Callers are told to come back after this.
+  Duration RetryAfter = std::chrono::milliseconds(250);
+  /// An idempotent request is doubled once it took this many usual times, or
+  /// earlier if the objective would be missed otherwise.
+  double HedgeFactor = 1.7;
+  double HedgeRoomFactor = 1.35;
+  /// Least time before a hedge, in usual times.
+  double HedgeLeastFactor = 1.2;
+  /// Parts of the retry allowance for hedges and for repeats after failures.
+  double HedgePart = 0.65;
+  double RetryPart = 1.0;
+  /// A request with less than this left is not sent any more.
+  Duration LeastRemaining = std::chrono::milliseconds(20);
+  /// A server's late answer is waited for so long after the deadline, for the
+  /// sake of its connection.
+  Duration LateAnswerTime = std::chrono::milliseconds(300);
+  /// Crashed servers after which a request is not sent any more.
+  std::size_t MaxCrashes = 3;
+};
+
+/// Serves requests by calls to discovered servers.
+class RequestFlow {
+public:
+  struct Hooks {
+    std::function<void(const DirectCall &)> Call;
+    std::function<void(CallId)> Cancel;
+    std::function<void(const DirectProbe &)> Probe;
+    std::function<void(const FlowResult &)> Finished;
+    /// Entry hosts that share the retry bound.
+    std::function<std::size_t()> Hosts;
+    /// Servers that requests of this fingerprint have crashed.
+    std::function<std::size_t(std::uint64_t Fingerprint)> Crashes;
+    std::function<void(Instant, std::uint64_t Fingerprint, const ServerName &)>
+        CrashSeen;
+    FlowLogHook Log;
+  };
+
+  RequestFlow(FlowPolicy Policy, RetryBound Bound, ServerRanking Ranking,
+              ServerRegistry &Registry, LoadBoard &Board, Instant Start,
+              Hooks Use);
+
+  void start(Instant Now, FlowRequest Request);
+  /// The caller is gone; idempotent work is withdrawn.
+  void abandon(Instant Now, RequestId Id);
+  void onCallResult(Instant Now, CallId Id, const ServerCallResult &Result);
+  void onProbeResult(Instant Now, CallId Id, const ProbeResult &Result);
+  void tick(Instant Now);
+  Instant nextTick() const;
+
+  std::size_t openRequests() const { return Flows.size(); }
+  const FlowCounters &counters() const { return Counters; }
+
+private:
+  struct Flow {
+    FlowRequest Request;
+    std::set<ServerName> Tried;
+    std::set<ServerName> Probed;
+    std::set<CallId> OpenProbes;
+    std::set<CallId> OpenCalls;
+    /// Calls that reached a server or may have.
+    unsigned Arrivals = 0;
+    unsigned ProbeRounds = 0;
+    /// A server is being chosen.
+    bool Choosing = false;
+    /// A call may have run.
+    bool MayHaveRun = false;
+    bool Hedged = false;
+    Reason LastReason = Reason::None;
+    /// A server's own failure, told to the caller if nothing better comes.
+    AnswerPtr ServerFailure;
+    ServerName FailedServer;
+    Instant HedgeAt = Instant::max();
+    /// Until when the choice waits for probes.
+    Instant ChooseAt = Instant::max();
+    Instant Wake = Instant::max();
+  };
+  struct OpenCall {
+    RequestId Owner;
+    ServerName Server;
+    std::string Route;
+    std::uint64_t Fingerprint = 0;
+    Instant StartedAt{};
+    unsigned SlownessPercent = 100;
+  };
+  struct OpenProbe {
+    RequestId Owner;
+    ServerName Server;
+    /// Set if the probe checks whether a request crashed the server.
+    std::uint64_t Fingerprint = 0;
+  };
+
+  void choose(Instant Now, Flow &Of);
+  bool sendProbes(Instant Now, Flow &Of,
+                  const std::vector<RankedServer> &Ranked);
+  void probe(const ServiceSettings &Service, const DiscoveredServer &Server,
+             OpenProbe Purpose);
+  void holdOrRefuse(Instant Now, Flow &Of);
+  void send(Instant Now, Flow &Of, const RankedServer &To);
+  void scheduleHedge(Instant Now, Flow &Of);
+  void startHedge(Instant Now, Flow &Of);
+  void onAnswer(Instant Now, Flow &Of, const OpenCall &Call,
+                const ServerAnswer &Answer);
+  void onLost(Instant Now, Flow &Of, const OpenCall &Call, CallEnd End);
+  void noteResult(Instant Now, const OpenCall &Call,
+                  const ServerCallResult &Result);
+  /// Tries another server if that is allowed, else ends the request unless
+  /// another call is open.
+  void repeatOrEnd(Instant Now, Flow &Of);
+  bool mayRepeat(Instant Now, const Flow &Of);
+  void expire(Instant Now, Flow &Of);
+  void end(Instant Now, Flow &Of, AnswerPtr Reply, const ServerName &Server,
+           Refusal Refused);
+  void endWithoutAnswer(Instant Now, Flow &Of, Reason Otherwise);
+  void verifyCrash(Instant Now, const OpenCall &Call,
+                   const ServiceSettings &Service);
+  void setWake(Flow &Of);
+  Duration usualOf(const Flow &Of) const;
+  RetryAllowance &allowanceOf(const ServiceName &Service);
+  static Refusal refusalOf(const Flow &Of, Reason Why, Duration RetryAfter);
+  void log(const char *Event, const Flow &Of, FlowFields Fields) const;
+
+  const FlowPolicy Policy;
+  const RetryBound Bound;
+  const Instant Start;
+  const Hooks Use;
+  ServerRanking Ranking;
+  ServerRegistry &Registry;
+  LoadBoard &Board;
+  UsualTimes Times;
+  std::unordered_map<RequestId, Flow> Flows;
+  std::unordered_map<CallId, OpenCall> Calls;
+  std::unordered_map<CallId, OpenProbe> Probes;
+  std::set<std::pair<Instant, RequestId>> Timers;
+  std::map<ServiceName, RetryAllowance> Allowances;
+  std::uint64_t LastCall = 0;
+  FlowCounters Counters;
+};
+
+} // namespace mimosacart
--- /dev/null
+++ b/direct/server_ranking.cpp
@@ -0,0 +1,76 @@
+#include "direct/server_ranking.h"
+
+#include <algorithm>
+
+namespace mimosacart {
+
+namespace {
+
+constexpr double UsualSlowness = 100;
+/// A server that has this many requests waiting for each slot is full.
+constexpr unsigned FullWaitingPerSlot = 1;
+
+Duration scaled(Duration Value, double Factor) {
+  return Duration(
+      static_cast<Duration::rep>(static_cast<double>(Value.count()) * Factor));
+}
+
+} // namespace
+
+std::vector<RankedServer>
+ServerRanking::rank(Instant Now,
+                    const std::vector<const DiscoveredServer *> &Servers,
+                    const LoadBoard &Board, Duration Usual) {
+  static const ServerKnowledge Nothing;
+  std::vector<RankedServer> Result;
+  for (const DiscoveredServer *Server : Servers) {
+    const ServerKnowledge *Of = Board.find(Server->Id);
+    Result.push_back(judge(Now, *Server, Of ? *Of : Nothing, Usual));
+  }
+  std::shuffle(Result.begin(), Result.end(), Random);
+  std::stable_sort(Result.begin(), Result.end(),
+                   [](const RankedServer &Left, const RankedServer &Right) {
+                     return Left.Cost < Right.Cost;
+                   });
+  return Result;
+}
+
+RankedServer ServerRanking::judge(Instant Now, const DiscoveredServer &Server,
+                                  const ServerKnowledge &Of,
+                                  Duration Usual) const {
+  RankedServer Result;
+  Result.Server = &Server;
+  const Duration Age = Now - Of.FiguresAt;
+  const bool Known = Of.Figures && Age <= Policy.StaleAfter;
+  // Nothing is learnt by asking a server that does not tell its load.
+  const bool Silent = Of.TellsLoad.has_value() && !*Of.TellsLoad;
+  Result.Fresh = Silent || (Of.Figures && Age <= Policy.FreshFor);
+  double Factor = Policy.UnknownFactor;
+  if (Silent)
+    Factor = 1;
+  else if (Known)
+    Factor = Of.Figures->SlownessPercent / UsualSlowness;
+  const unsigned Slots = std::max(1U, Server.Slots);
+  unsigned Busy = Of.InFlight;
+  if (Known)
+    Busy = std::max(Busy, Of.Figures->Running + Of.Figures->Waiting +
+                              Of.StartedSince);
+  if (Busy + 1 > Policy.KneeShare * Slots && Slots > 2)
+    Factor *= Policy.KneeFactor;
+  if (Now < Of.WarmAt)
+    Factor *= Policy.WarmUpFactor;
+  if (Busy >= Slots)
+    Factor *= 1 + static_cast<double>(Busy - Slots + 1) / Slots;
+  const double Failures = LoadBoard::failures(Now, Of);
+  Result.Full = Busy >= Slots * (1 + FullWaitingPerSlot);
+  Result.Good = (Known || Silent) && Factor <= Policy.GoodFactor &&
+                Busy < Slots && Failures < 0.5 && !Of.Unhealthy;
+  Result.Cost = scaled(Usual, Factor) + scaled(Policy.FailureCost, Failures);
+  if (Server.DataCentre != DataCentre)
+    Result.Cost += scaled(Usual, Policy.DistanceFactor);
+  if (Of.Unhealthy)
+    Result.Cost += Policy.UnhealthyCost;
+  return Result;
+}
+
+} // namespace mimosacart
--- /dev/null
+++ b/direct/usual_times.cpp
@@ -0,0 +1,37 @@
+#include "direct/usual_times.h"
+
+#include <algorithm>
+
+namespace mimosacart {
+
+namespace {
+
+constexpr double NewestWeight = 0.05;
+/// One straggler says little of the usual time.
+constexpr double MaxSampleFactor = 2;
+/// Objectives leave this much room for the usual time.
+constexpr double UnknownShareOfObjective = 0.35;
+constexpr unsigned UsualSlowness = 100;
+
+} // namespace
+
+void UsualTimes::note(const std::string &Route, Duration Time,
+                      unsigned SlownessPercent) {
+  const double Sample = static_cast<double>(Time.count()) * UsualSlowness /
+                        std::max(SlownessPercent, UsualSlowness);
+  const auto [Place, Added] = Microseconds.try_emplace(Route, Sample);
+  if (Added)
+    return;
+  const double Bounded = std::min(Sample, Place->second * MaxSampleFactor);
+  Place->second += NewestWeight * (Bounded - Place->second);
+}
+
+Duration UsualTimes::usual(const std::string &Route, Duration Objective) const {
+  const auto Found = Microseconds.find(Route);
+  if (Found == Microseconds.end())
+    return Duration(static_cast<Duration::rep>(
+        static_cast<double>(Objective.count()) * UnknownShareOfObjective));
+  return Duration(static_cast<Duration::rep>(Found->second));
+}
+
+} // namespace mimosacart
--- a/net/asio.h
+++ b/net/asio.h
@@ -27,6 +27,10 @@
 /// Reads `ip:port`; nothing if \p Address is anything else.
 std::optional<tcp::endpoint> parseEndpoint(const std::string &Address);
 
+/// Sets what every connection of ours needs: no delay of small writes, and an
+/// end of connections that went silent.
+void setConnectionOptions(tcp::socket &Socket);
+
 /// Copies the fields of a Beast message.
 template <typename Fields>
 std::vector<HeaderField> copyFields(const Fields &From) {
--- a/net/endpoint.cpp
+++ b/net/endpoint.cpp
@@ -1,9 +1,41 @@
 #include "net/asio.h"
 
 #include <charconv>
+#include <netinet/tcp.h>
 
 namespace mimosacart {
 
+namespace {
+
+/// A connection whose other end vanished is noticed after about
+/// KeepAliveIdleSeconds + KeepAliveProbes * KeepAliveIntervalSeconds.
+constexpr int KeepAliveIdleSeconds = 1;
+constexpr int KeepAliveIntervalSeconds = 1;
+constexpr int KeepAliveProbes = 3;
+/// Written bytes that are not confirmed for so long end the connection.
+constexpr unsigned UnconfirmedLimitMs = 4000;
+
+} // namespace
+
+void setConnectionOptions(tcp::socket &Socket) {
+  using KeepIdle =
+      asio::detail::socket_option::integer<IPPROTO_TCP, TCP_KEEPIDLE>;
+  using KeepInterval =
+      asio::detail::socket_option::integer<IPPROTO_TCP, TCP_KEEPINTVL>;
+  using KeepCount =
+      asio::detail::socket_option::integer<IPPROTO_TCP, TCP_KEEPCNT>;
+  using UserTimeout =
+      asio::detail::socket_option::integer<IPPROTO_TCP, TCP_USER_TIMEOUT>;
+  // A socket that died meanwhile shows it with its first use.
+  boost::system::error_code Ignored;
+  Socket.set_option(tcp::no_delay(true), Ignored);
+  Socket.set_option(asio::socket_base::keep_alive(true), Ignored);
+  Socket.set_option(KeepIdle(KeepAliveIdleSeconds), Ignored);
+  Socket.set_option(KeepInterval(KeepAliveIntervalSeconds), Ignored);
+  Socket.set_option(KeepCount(KeepAliveProbes), Ignored);
+  Socket.set_option(UserTimeout(UnconfirmedLimitMs), Ignored);
+}
+
 std::optional<tcp::endpoint> parseEndpoint(const std::string &Address) {
   const std::size_t Colon = Address.rfind(':');
   if (Colon == std::string::npos)
--- a/net/http_client.cpp
+++ b/net/http_client.cpp
@@ -76,26 +76,32 @@
 public:
   ClientCall(std::weak_ptr<HttpClient::Impl> Client, HttpCall Call,
              HttpClient::DoneHook Done)
-      : Client(std::move(Client)), Call(std::move(Call)),
-        Done(std::move(Done)) {}
+      : Client(std::move(Client)), Call(std::move(Call)), Done(std::move(Done)),
+        Deadline(std::chrono::steady_clock::now() + this->Call.Timeout) {}
 
   void start();
   void cancel() override;
 
 private:
   void connect(HttpClient::Impl &Pool);
+  void exchange();
   void write();
+  void onWritten(const beast::error_code &Error);
   void read();
   void onHeader(const beast::error_code &Error);
   void onRead(const beast::error_code &Error);
+  void onResponse(HttpResponse Response, bool KeepAlive);
+  bool isTooLong() const;
   void finish(HttpResult Result);
   void fail(const beast::error_code &Error, NetError Otherwise);
 
   std::weak_ptr<HttpClient::Impl> Client;
   HttpCall Call;
   HttpClient::DoneHook Done;
+  const std::chrono::steady_clock::time_point Deadline;
   std::unique_ptr<beast::tcp_stream> Stream;
   http::request<http::string_body> Outgoing;
+  bool Written = false;
   beast::flat_buffer Buffer;
   std::optional<http::response_parser<http::string_body>> Parser;
 };
@@ -105,8 +111,7 @@
   if (Call.MaxIdle > Duration::zero())
     Stream = Pool->take(Call.Address, Call.MaxIdle);
   if (Stream) {
-    Stream->expires_after(Call.Timeout);
-    write();
+    exchange();
     return;
   }
   connect(*Pool);
@@ -121,7 +126,9 @@
     });
     return;
   }
-  Stream->expires_after(Call.Timeout);
+  const bool Bounded = Call.ConnectTimeout > Duration::zero();
+  Stream->expires_after(Bounded ? std::min(Call.ConnectTimeout, Call.Timeout)
+                                : Call.Timeout);
   Stream->async_connect(
       *Endpoint, [Self = shared_from_this()](beast::error_code Error) {
         if (!Self->Done)
@@ -130,41 +137,47 @@
           Self->finish(make_error_code(NetError::ConnectFailed));
           return;
         }
-        beast::error_code Ignored;
-        Self->Stream->socket().set_option(tcp::no_delay(true), Ignored);
-        Self->write();
+        setConnectionOptions(Self->Stream->socket());
+        Self->exchange();
       });
 }
 
+/// Writes and reads at the same time, since a response may come before the
+/// request is wholly written.
+void ClientCall::exchange() {
+  Stream->expires_at(Deadline);
+  write();
+  read();
+}
+
 void ClientCall::write() {
   Outgoing.version(HttpVersion11);
   Outgoing.method_string(Call.Request.Method);
   Outgoing.target(Call.Request.Target);
   insertFields(Call.Request.Headers, Outgoing);
-  Outgoing.set(http::field::host, Call.Address);
+  if (Outgoing.find(http::field::host) == Outgoing.end())
+    Outgoing.set(http::field::host, Call.Address);
   Outgoing.body() = std::move(Call.Request.Body);
   Outgoing.keep_alive(true);
   Outgoing.prepare_payload();
   http::async_write(*Stream, Outgoing,
                     [Self = shared_from_this()](beast::error_code Error,
                                                 std::size_t /*Bytes*/) {
-                      if (!Self->Done)
-                        return;
-                      if (Error) {
-                        Self->fail(Error, NetError::Broken);
-                        return;
-                      }
-                      Self->read();
+                      Self->onWritten(Error);
                     });
 }
 
+/// A response may still be on its way when writing fails, so the read decides
+/// how the call ended.
+void ClientCall::onWritten(const beast::error_code &Error) { Written = !Error; }
+
 void ClientCall::read() {
   const auto Pool = Client.lock();
   if (!Pool)
     return;
   Parser.emplace();
   Parser->body_limit(Pool->MaxBodyBytes);
-  if (Outgoing.method() == http::verb::head)
+  if (Call.Request.Method == "HEAD")
     Parser->skip(true);
   http::async_read_header(*Stream, Buffer, *Parser,
                           [Self = shared_from_this()](beast::error_code Error,
@@ -174,16 +187,20 @@
                           });
 }
 
+/// Beast 1.74 lets a response's declared length pass its own limit.
+bool ClientCall::isTooLong() const {
+  const auto Pool = Client.lock();
+  const auto Length = Parser->content_length();
+  const bool HasBody = Call.Request.Method != "HEAD";
+  return !Pool || (HasBody && Length && *Length > Pool->MaxBodyBytes);
+}
+
 void ClientCall::onHeader(const beast::error_code &Error) {
   if (Error) {
     fail(Error, NetError::Broken);
     return;
   }
-  // Beast 1.74 lets a response's declared length pass its own limit.
-  const auto Pool = Client.lock();
-  const auto Length = Parser->content_length();
-  const bool HasBody = Outgoing.method() != http::verb::head;
-  if (!Pool || (HasBody && Length && *Length > Pool->MaxBodyBytes)) {
+  if (isTooLong()) {
     finish(make_error_code(NetError::Broken));
     return;
   }
@@ -201,22 +218,37 @@
     return;
   }
   auto Message = Parser->release();
-  // An answer that ends with its connection could be cut short unnoticed.
   const bool EndsWithConnection =
-      Message.need_eof() && Outgoing.method() != http::verb::head;
-  if (EndsWithConnection) {
+      Message.need_eof() && Call.Request.Method != "HEAD";
+  if (EndsWithConnection && !Call.MayEndWithConnection) {
     finish(make_error_code(NetError::Malformed));
     return;
   }
+  const bool KeepAlive = Message.keep_alive() && !EndsWithConnection;
+  onResponse(
+      {Message.result_int(), copyFields(Message), std::move(Message.body())},
+      KeepAlive);
+}
+
+void ClientCall::onResponse(HttpResponse Response, bool KeepAlive) {
+  if (Call.Accept && !Call.Accept(Response)) {
+    if (KeepAlive)
+      read();
+    else
+      finish(make_error_code(NetError::Broken));
+    return;
+  }
   const auto Pool = Client.lock();
-  // Bytes after the answer belong to no call of ours.
-  const bool Reusable = Message.keep_alive() && Buffer.size() == 0 && Pool;
+  // Bytes after the answer belong to no call of ours, and what is left of the
+  // request would be taken for the next one.
+  const bool Reusable = KeepAlive && Written && Buffer.size() == 0 && Pool;
   if (Reusable) {
     Stream->expires_never();
     Pool->keep(Call.Address, std::move(Stream));
+  } else {
+    Stream->close();
   }
-  finish(HttpResponse{Message.result_int(), copyFields(Message),
-                      std::move(Message.body())});
+  finish(std::move(Response));
 }
 
 void ClientCall::fail(const beast::error_code &Error, NetError Otherwise) {
--- a/net/http_client.h
+++ b/net/http_client.h
@@ -23,6 +23,14 @@
   std::string Address;
   HttpRequest Request;
   Duration Timeout{};
+  /// Time for a new connection; the whole timeout if it is zero.
+  Duration ConnectTimeout{};
+  /// Whether a response that has neither a length nor chunks may end with its
+  /// connection. Without it such a response is malformed.
+  bool MayEndWithConnection = false;
+  /// Tells whether a response answers this call. Others are left over from
+  /// earlier calls on the connection and are dropped. Empty accepts all.
+  std::function<bool(const HttpResponse &)> Accept;
   /// Whether an idle connection may carry the call, and how long it may have
   /// been idle; zero asks for a new connection.
   Duration MaxIdle = std::chrono::seconds(30);
@@ -39,7 +47,8 @@
 };
 
 /// Makes calls, one at a time on each connection. A connection whose call
-/// failed, timed out or was cancelled is closed and never used again.
+/// failed, timed out or was cancelled is closed and never used again. A
+/// response may arrive before the request is wholly written.
 class HttpClient {
 public:
   using DoneHook = std::function<void(HttpResult)>;
--- a/net/http_server.cpp
+++ b/net/http_server.cpp
@@ -41,14 +41,17 @@
   boost::outcome_v2::result<void, std::error_code>
   listen(const std::string &Address);
   void stop();
+  void drain();
   void accept();
 
   asio::io_context &Context;
   tcp::acceptor Acceptor;
-  const HttpServerLimits Limits;
+  HttpServerLimits Limits;
   const Handler Handle;
   const RefusalHook Refuse;
   bool Stopping = false;
+  /// Connections are closed with their next response.
+  bool Draining = false;
   std::unordered_map<std::string, std::size_t> ConnectionsByAddress;
   std::unordered_set<Session *> Sessions;
 };
@@ -216,7 +219,8 @@
     return;
   AwaitingResponse = false;
   Gone = nullptr;
-  write(std::move(Response), KeepAlive && !Server->Stopping);
+  write(std::move(Response),
+        KeepAlive && !Server->Stopping && !Server->Draining);
 }
 
 void Session::refuse(NetError Error) { write(Server->Refuse(Error), false); }
@@ -286,7 +290,7 @@
       return;
     }
     beast::error_code Ignored;
-    Socket.set_option(tcp::no_delay(true), Ignored);
+    setConnectionOptions(Socket);
     const auto Remote = Socket.remote_endpoint(Ignored);
     const std::string Address =
         Ignored ? std::string() : Remote.address().to_string();
@@ -310,6 +314,13 @@
     Each->closeIfIdle();
 }
 
+void HttpServer::Impl::drain() {
+  Draining = true;
+  const std::unordered_set<Session *> Open = Sessions;
+  for (Session *Each : Open)
+    Each->closeIfIdle();
+}
+
 HttpServer::HttpServer(asio::io_context &Context, HttpServerLimits Limits,
                        Handler Handle, RefusalHook Refuse)
     : Shared(std::make_shared<Impl>(Context, Limits, std::move(Handle),
@@ -324,6 +335,12 @@
 
 void HttpServer::stop() { Shared->stop(); }
 
+void HttpServer::drain() { Shared->drain(); }
+
+void HttpServer::setLimits(const HttpServerLimits &Limits) {
+  Shared->Limits = Limits;
+}
+
 std::size_t HttpServer::connections() const { return Shared->Sessions.size(); }
 
 } // namespace mimosacart
--- a/net/http_server.h
+++ b/net/http_server.h
@@ -55,6 +55,13 @@
   HttpServer(const HttpServer &) = delete;
   HttpServer &operator=(const HttpServer &) = delete;
 
+  /// Replaces the limits for requests that are yet to come.
+  void setLimits(const HttpServerLimits &Limits);
+
+  /// Goes on serving, but closes each connection with its next response and
+  /// those that are idle at once.
+  void drain();
+
   /// Binds to \p Address and starts to accept.
   boost::outcome_v2::result<void, std::error_code>
   listen(const std::string &Address);
--- a/scripts/fleet.sh
+++ b/scripts/fleet.sh
@@ -31,17 +31,17 @@
   shift 3
   "$build/tests/platform_standin" \
     --listen="$(fleet_value "$example/operator.toml" address)" \
-    2>"$out/platform.log" &
+    >"$out/platform.log" 2>&1 &
   FLEET_PIDS+=($!)
   while read -r name address slots; do
     "$build/tests/server_standin" --listen="$address" --name="$name" \
       --slots="$slots" --seed=$((seed++)) --log="$out/executions.log" "$@" \
-      2>"$out/$name.log" &
+      >"$out/$name.log" 2>&1 &
     FLEET_PIDS+=($!)
   done < <(fleet_servers "$example/services.toml")
   for settings in $(fleet_hosts "$example"); do
     "$build/daemon/mimosacartd" --settings="$settings" \
-      2>"$out/$(basename "$settings" .toml).log" &
+      >"$out/$(basename "$settings" .toml).log" 2>&1 &
     FLEET_PIDS+=($!)
   done
 }
--- a/settings/host_settings.cpp
+++ b/settings/host_settings.cpp
@@ -64,6 +64,20 @@
   Reader.finish();
 }
 
+DirectSettings readDirect(TableReader Reader) {
+  DirectSettings Into;
+  Into.DirectoryAddress = Reader.requiredAddress("directory");
+  Into.ReadinessAddress = Reader.requiredAddress("readiness");
+  Into.DirectoryLifetime =
+      Reader.timeOr("directory_lifetime", Into.DirectoryLifetime);
+  Into.RetryShare = Reader.numberOr("retry_share", Into.RetryShare);
+  Into.RetrySlack = Reader.numberOr("retry_slack", Into.RetrySlack);
+  Into.RetryWindow = Reader.timeOr("retry_window", Into.RetryWindow);
+  Into.StopGrace = Reader.timeOr("stop_grace", Into.StopGrace);
+  Reader.finish();
+  return Into;
+}
+
 } // namespace
 
 Checked<HostSettings> parseHostSettings(std::string_view Text,
@@ -96,6 +110,8 @@
       "policy", Result.Balancing,
       {"slot-ownership", "round-robin", "least-in-flight", "two-choices"});
   Balancing.finish();
+  if (Parsed.value().contains("direct"))
+    Result.Direct = readDirect(Root.requiredTable("direct"));
   Root.finish();
   if (!Errors.empty())
     return Errors;
--- a/settings/host_settings.h
+++ b/settings/host_settings.h
@@ -6,6 +6,7 @@
 #include "core/time.h"
 #include "settings/toml_reader.h"
 
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -24,6 +25,24 @@
   Duration ReadTimeout = std::chrono::seconds(10);
 };
 
+/// For a host that takes servers and routes from the store and calls the
+/// servers itself.
+struct DirectSettings {
+  /// Where callers ask for the entry hosts to use.
+  std::string DirectoryAddress;
+  /// Where the platform asks whether this host is ready.
+  std::string ReadinessAddress;
+  /// How long callers may keep the list of entry hosts.
+  Duration DirectoryLifetime = std::chrono::seconds(1);
+  /// Repeats allowed for the whole fleet in a window: a share of the requests
+  /// and a fixed number.
+  double RetryShare = 0.2;
+  double RetrySlack = 50;
+  Duration RetryWindow = std::chrono::seconds(10);
+  /// A stopping process is killed after this.
+  Duration StopGrace = std::chrono::seconds(6);
+};
+
 /// Everything that an entry host is told by its settings.
 struct HostSettings {
   HostName Name;
@@ -41,6 +60,8 @@
   std::string LogLevel = "info";
   /// Name of the balancing policy; see core/balancing.h.
   std::string Balancing = "slot-ownership";
+  /// Set if the file has a table for it.
+  std::optional<DirectSettings> Direct;
 };
 
 /// Parses and checks a whole settings file; \p File names it in errors.
--- a/settings/toml_reader.cpp
+++ b/settings/toml_reader.cpp
@@ -1,5 +1,7 @@
 #include "settings/toml_reader.h"
 
+#include "core/text.h"
+
 #include <algorithm>
 #include <arpa/inet.h>
 #include <cctype>
@@ -247,6 +249,31 @@
   return checkedInteger(Key, *Found, Default, Allowed);
 }
 
+double TableReader::numberOr(std::string_view Key, double Default) {
+  const toml::node *Found = find(Key);
+  if (Found == nullptr)
+    return Default;
+  const auto Value = Found->value<double>();
+  if (!Value || *Value < 0) {
+    failType(Key, *Found, "a number of at least 0");
+    return Default;
+  }
+  return *Value;
+}
+
+Duration TableReader::timeOr(std::string_view Key, Duration Default) {
+  const toml::node *Found = find(Key);
+  if (Found == nullptr)
+    return Default;
+  const auto Text = Found->value<std::string>();
+  const auto Value = Text ? parseDuration(*Text) : std::nullopt;
+  if (!Value) {
+    failType(Key, *Found, "a time with its unit, such as \"1500ms\" or \"2s\"");
+    return Default;
+  }
+  return *Value;
+}
+
 bool TableReader::requiredBoolean(std::string_view Key) {
   const toml::node *Found = findRequired(Key);
   if (Found == nullptr)
--- a/settings/toml_reader.h
+++ b/settings/toml_reader.h
@@ -2,6 +2,8 @@
 /// Reads TOML tables field by field and collects every error with its place.
 #pragma once
 
+#include "core/time.h"
+
 #include <boost/outcome/result.hpp>
 #include <toml++/toml.h>
 
@@ -59,6 +61,10 @@
   std::int64_t requiredInteger(std::string_view Key, IntegerRange Allowed);
   std::int64_t integerOr(std::string_view Key, std::int64_t Default,
                          IntegerRange Allowed);
+  /// A number with or without a fraction, at least 0.
+  double numberOr(std::string_view Key, double Default);
+  /// A text of a number and its unit, `ms` or `s`.
+  Duration timeOr(std::string_view Key, Duration Default);
   bool requiredBoolean(std::string_view Key);
   bool booleanOr(std::string_view Key, bool Default);
   std::vector<std::string> addressesOr(std::string_view Key,
--- a/tests/wire/peer_codec_test.cpp
+++ b/tests/wire/peer_codec_test.cpp
@@ -53,7 +53,7 @@
   Result.Server = ServerName("t");
   Result.ServiceTime = 9ms;
   return {
-      Ping{1, Member, 2, Mark},
+      Ping{1, Member, 2, Mark, {3, 4}},
       Ack{1, Member, 2, std::nullopt},
       PingRequest{3, HostName("x")},
       SoftState{{Member}, {{ServerName("t"), 4, true, 5s}}, {Crash}, Mark},
@@ -77,6 +77,8 @@
       CrashReport{Crash},
       CrashReportAck{12},
       AttemptAnswerAck{Incarnation(1), AttemptId(2)},
+      TableRequest{StoreTable::Servers, 7},
+      TableRows{StoreTable::Servers, 9, true, {{"k", 8, true, "v"}}},
   };
 }
 
--- a/wire/peer_codec.cpp
+++ b/wire/peer_codec.cpp
@@ -1,6 +1,7 @@
 #include "wire/peer_codec.h"
 
 #include "wire/generated/peer.pb.h"
+#include "wire/table_codec.h"
 
 namespace mimosacart {
 
@@ -25,6 +26,13 @@
   return static_cast<Enum>(Value);
 }
 
+/// What \p Value holds; a field was impossible if it holds nothing.
+template <typename T> T required(std::optional<T> Value) {
+  if (!Value)
+    throw BadField();
+  return std::move(*Value);
+}
+
 // --- Values shared by several messages -------------------------------------
 
 void write(const HeaderField &From, wire::Header &To) {
@@ -172,6 +180,8 @@
   To.set_state_digest(From.StateDigest);
   if (From.Mark)
     write(*From.Mark, *To.mutable_mark());
+  To.set_routes_version(From.Tables.Routes);
+  To.set_servers_version(From.Tables.Servers);
 }
 
 template <typename Probe> Probe readProbe(const wire::Ping &From) {
@@ -181,6 +191,7 @@
   To.StateDigest = From.state_digest();
   if (From.has_mark())
     To.Mark = read(From.mark());
+  To.Tables = {From.routes_version(), From.servers_version()};
   return To;
 }
 
@@ -427,6 +438,10 @@
     return AttemptAnswerAck{
         Incarnation(From.attempt_answer_ack().origin_life()),
         AttemptId(From.attempt_answer_ack().attempt())};
+  case wire::Envelope::kTableRequest:
+    return required(readTableRequest(From.table_request()));
+  case wire::Envelope::kTableRows:
+    return required(readTableRows(From.table_rows()));
   case wire::Envelope::BODY_NOT_SET:
     break;
   }
--- /dev/null
+++ b/wire/table_codec.cpp
@@ -0,0 +1,51 @@
+#include "wire/table_codec.h"
+
+namespace mimosacart {
+
+namespace {
+
+std::optional<StoreTable> readTable(std::uint32_t Value) {
+  if (Value > static_cast<std::uint32_t>(StoreTable::Servers))
+    return std::nullopt;
+  return static_cast<StoreTable>(Value);
+}
+
+} // namespace
+
+void write(const TableRequest &From, wire::Envelope &To) {
+  To.mutable_table_request()->set_table(static_cast<std::uint32_t>(From.Table));
+  To.mutable_table_request()->set_after(From.After);
+}
+
+void write(const TableRows &From, wire::Envelope &Envelope) {
+  wire::TableRows &To = *Envelope.mutable_table_rows();
+  To.set_table(static_cast<std::uint32_t>(From.Table));
+  To.set_up_to(From.UpTo);
+  To.set_whole(From.Whole);
+  for (const TableRow &Row : From.Rows) {
+    wire::TableRow &Written = *To.add_rows();
+    Written.set_key(Row.Key);
+    Written.set_version(Row.Version);
+    Written.set_removed(Row.Removed);
+    Written.set_value(Row.Value);
+  }
+}
+
+std::optional<TableRequest> readTableRequest(const wire::TableRequest &From) {
+  const auto Table = readTable(From.table());
+  if (!Table)
+    return std::nullopt;
+  return TableRequest{*Table, From.after()};
+}
+
+std::optional<TableRows> readTableRows(const wire::TableRows &From) {
+  const auto Table = readTable(From.table());
+  if (!Table)
+    return std::nullopt;
+  TableRows To{*Table, From.up_to(), From.whole(), {}};
+  for (const wire::TableRow &Row : From.rows())
+    To.Rows.push_back({Row.key(), Row.version(), Row.removed(), Row.value()});
+  return To;
+}
+
+} // namespace mimosacart
