Hold requests while no server fits their objective; share probes

Hosts sent into servers' queues: 1,691 of 11,442 arrivals ran out of their time, 1,300 repeats went onto servers that were no better, 1,527 connections were reset over the cap by storms of probes. Ruled out: noise that ends while a request runs (work begun at slowness 700 took 889 ms at the median against 258 at 100), processor time (--no-cpu gives the same).

Change: a server is taken if its expected time fits the objective; else the request is held for a third of it, then takes what is free or is refused. A probe on its way serves all requests that wait for the server. A host is listed only once it has a configuration, and asks peers for rows at once while it has none; versions are compared by the newest row of the table, not by the store's counter.

--- a/core/membership.cpp
+++ b/core/membership.cpp
@@ -256,6 +256,12 @@
   announceSelf();
 }
 
+void Membership::join() {
+  Self.Leaving = false;
+  ++Self.Refutation;
+  announceSelf();
+}
+
 void Membership::finish(const HostName &Successor) {
   Self.Leaving = true;
   Self.Status = MemberStatus::Left;
--- a/core/membership.h
+++ b/core/membership.h
@@ -83,6 +83,9 @@
   /// Marks this host as leaving and tells the others.
   void leave();
 
+  /// Marks this host as taking work and tells the others.
+  void join();
+
   /// Marks this host as gone, with the host that holds its claims.
   void finish(const HostName &Successor);
 
--- a/daemon/direct_host_process.cpp
+++ b/daemon/direct_host_process.cpp
@@ -59,6 +59,8 @@
   Self.Host = HostName(fmt::format("{}~{:08x}", From.Name.value(),
                                    static_cast<std::uint32_t>(Life.value())));
   Self.Life = Life;
+  // Without a configuration no caller can be served.
+  Self.Leaving = true;
   Self.DataCentre = From.DataCentre;
   Self.PeerAddress = From.PeerAddress;
   Self.CallerAddress = From.CallerAddress;
--- a/direct/direct_node.cpp
+++ b/direct/direct_node.cpp
@@ -202,9 +202,12 @@
            {"row_version", std::to_string(Row.Version)},
            {"routes", std::to_string(Next->Routes.size())},
            {"services", std::to_string(Next->Services.size())}});
+  const bool First = !Routes.has_value();
   Configuration = Next;
   Routes.emplace(Next);
   Use.Configured(*Next);
+  if (First && !Stopping)
+    Fleet.join(Now);
 }
 
 void DirectNode::onServerRow(const TableRow &Row) {
--- a/direct/fleet_view.cpp
+++ b/direct/fleet_view.cpp
@@ -12,6 +12,11 @@
 /// Rows are not asked for again before this.
 constexpr Duration AskInterval = std::chrono::milliseconds(500);
 
+/// Rows up to this version are known, from the store or from peers.
+std::uint64_t knownVersion(const TableMirror &Mirror) {
+  return std::max(Mirror.version(), Mirror.newest());
+}
+
 } // namespace
 
 FleetView::FleetView(FleetSettings Given,
@@ -85,6 +90,11 @@
   Members.setSeeds(std::move(Addresses));
 }
 
+void FleetView::join(Instant At) {
+  Now = At;
+  Members.join();
+}
+
 void FleetView::leave(Instant At) {
   Now = At;
   Members.leave();
@@ -113,8 +123,8 @@
 }
 
 TableVersions FleetView::versions() const {
-  return {Tables.at(StoreTable::Routes)->version(),
-          Tables.at(StoreTable::Servers)->version()};
+  return {Tables.at(StoreTable::Routes)->newest(),
+          Tables.at(StoreTable::Servers)->newest()};
 }
 
 void FleetView::onMessage(Instant At, const PeerMessage &Message) {
@@ -161,6 +171,7 @@
 void FleetView::compare(const HostName &From, std::uint64_t Digest,
                         const TableVersions &Theirs) {
   noteVersions(From, Theirs);
+  askForRows();
   if (Digest == digest())
     return;
   SoftState All;
@@ -173,7 +184,7 @@
                              const TableVersions &Theirs) {
   for (const auto &[Table, Mirror] : Tables) {
     const std::uint64_t Version = Theirs.of(Table);
-    if (Version <= Mirror->version())
+    if (Version <= knownVersion(*Mirror))
       continue;
     const auto [Place, Added] = Lags.try_emplace(Table);
     Lag &Known = Place->second;
@@ -191,14 +202,16 @@
     const auto Current = Next++;
     const TableMirror &Mirror = *Tables.at(Current->first);
     Lag &Known = Current->second;
-    if (Mirror.version() >= Known.Version) {
+    if (knownVersion(Mirror) >= Known.Version) {
       Lags.erase(Current);
       continue;
     }
-    if (Now - Known.Since < Settings.HandOnAfter)
+    // A host that knows nothing yet cannot serve, so it does not wait.
+    const bool Empty = Mirror.newest() == 0;
+    if (Now - Known.Since < (Empty ? Duration::zero() : Settings.HandOnAfter))
       continue;
-    Known.Since = Now + AskInterval - Settings.HandOnAfter;
-    sendTo(Known.Peer, TableRequest{Current->first, Mirror.version()});
+    Known.Since = Now + AskInterval;
+    sendTo(Known.Peer, TableRequest{Current->first, Mirror.newest()});
   }
 }
 
@@ -213,7 +226,7 @@
                              {"table", toString(Message.Table)},
                              {"rows", std::to_string(Message.Rows.size())},
                              {"version", std::to_string(Message.UpTo)},
-                             {"before", std::to_string(Mirror.version())}});
+                             {"before", std::to_string(Mirror.newest())}});
   if (Message.Whole)
     Mirror.replace(Message.Rows, Message.UpTo);
   else
--- a/direct/fleet_view.h
+++ b/direct/fleet_view.h
@@ -14,7 +14,8 @@
 
 namespace mimosacart {
 
-/// What a host is told of itself and its fleet at its start.
+/// What a host is told of itself and its fleet at its start. A host that is
+/// marked as leaving is not used by callers until it joins.
 struct FleetSettings {
   MemberRecord Self;
   std::vector<std::string> Seeds;
@@ -41,6 +42,8 @@
 
   /// Addresses of peers as the store lists them.
   void setSeeds(std::vector<std::string> Addresses);
+  /// This host can serve callers from now on.
+  void join(Instant Now);
   /// This host will stop: callers are to use the others.
   void leave(Instant Now);
   /// The last message of this host.
--- a/direct/request_flow.cpp
+++ b/direct/request_flow.cpp
@@ -94,14 +94,27 @@
     setWake(Of);
     return;
   }
+  if (!Of.OpenCalls.empty()) {
+    // A repeat on a server that is no better would only add to the load.
+    Of.Choosing = false;
+    setWake(Of);
+    return;
+  }
   const auto Free =
       std::find_if(Ranked.begin(), Ranked.end(),
                    [](const RankedServer &Each) { return !Each.Full; });
-  if (Free == Ranked.end()) {
-    holdOrRefuse(Now, Of);
-    return;
-  }
-  send(Now, Of, *Free);
+  if (Free != Ranked.end() && fitsObjective(Now, Of, *Free))
+    send(Now, Of, *Free);
+  else
+    hold(Now, Of, Free == Ranked.end() ? nullptr : &*Free);
+}
+
+bool RequestFlow::fitsObjective(Instant Now, const Flow &Of,
+                                const RankedServer &Server) const {
+  const HostRoute &Route = Of.Request.Route;
+  const Duration Left = Of.Request.Arrived + Route.Objective - Now;
+  const double Factor = Route.Priority == 0 ? 1 : Policy.RoomFactor;
+  return scaled(Server.Expected, Factor) <= Left;
 }
 
 bool RequestFlow::sendProbes(Instant Now, Flow &Of,
@@ -110,52 +123,64 @@
     return false;
   std::size_t Wanted =
       Of.ProbeRounds == 0 ? Policy.FirstProbes : Policy.FurtherProbes;
-  const std::size_t Before = Of.OpenProbes.size();
+  bool Sent = false;
   for (const RankedServer &Each : Ranked) {
     if (Wanted == 0)
       break;
-    if (Each.Fresh || Of.Probed.contains(Each.Server->Id))
+    if (Each.FiguresAge < Policy.ProbeAgainAfter ||
+        Of.Probed.contains(Each.Server->Id))
       continue;
     --Wanted;
+    Sent = true;
     Of.Probed.insert(Each.Server->Id);
-    probe(Of.Request.Service, *Each.Server,
-          {Of.Request.Id, Each.Server->Id, 0});
-    Of.OpenProbes.insert(CallId(LastCall));
+    const CallId Id = probe(Of.Request.Service, *Each.Server);
+    Probes.at(Id).Waiters.push_back(Of.Request.Id);
+    Of.OpenProbes.insert(Id);
   }
   ++Of.ProbeRounds;
-  if (Of.OpenProbes.size() == Before)
-    return false;
-  Of.ChooseAt = Now + Policy.ProbeWait;
-  return true;
+  if (Sent)
+    Of.ChooseAt = Now + Policy.ProbeWait;
+  return Sent;
+}
+
+CallId RequestFlow::probe(const ServiceSettings &Service,
+                          const DiscoveredServer &Server) {
+  const auto Found = ProbesByServer.find(Server.Id);
+  if (Found != ProbesByServer.end())
+    return Found->second;
+  const CallId Id = startProbe(Service, Server, 0);
+  ProbesByServer[Server.Id] = Id;
+  return Id;
 }
 
-void RequestFlow::probe(const ServiceSettings &Service,
-                        const DiscoveredServer &Server, OpenProbe Purpose) {
+CallId RequestFlow::startProbe(const ServiceSettings &Service,
+                               const DiscoveredServer &Server,
+                               std::uint64_t Fingerprint) {
   const CallId Id(++LastCall);
-  Probes[Id] = std::move(Purpose);
+  Probes[Id] = {Server.Id, Fingerprint, {}};
   ++Counters.Probes;
   Use.Probe({Id, Server, Service.HealthPath, Policy.ProbeTimeout});
+  return Id;
 }
 
-/// Every server is full: waits a little, then sends the caller away.
-void RequestFlow::holdOrRefuse(Instant Now, Flow &Of) {
-  if (!Of.OpenCalls.empty()) {
-    Of.Choosing = false;
+void RequestFlow::hold(Instant Now, Flow &Of, const RankedServer *Free) {
+  const Instant HoldUntil =
+      Of.Request.Arrived + scaled(Of.Request.Route.Objective, Policy.HoldShare);
+  if (Now < HoldUntil) {
+    ++Counters.Held;
+    Of.Probed.clear();
+    Of.ProbeRounds = Policy.ProbeRounds - 1;
+    Of.ChooseAt = Now + Policy.HoldInterval;
     setWake(Of);
     return;
   }
-  const Instant HoldUntil =
-      Of.Request.Arrived + scaled(Of.Request.Route.Objective, Policy.HoldShare);
-  if (Now >= HoldUntil || Of.Arrivals > 0) {
-    Of.Choosing = false;
-    endWithoutAnswer(Now, Of, Reason::Overloaded);
+  // A late answer is still worth something to the caller.
+  if (Free != nullptr && Now + Free->Expected < Of.Request.Deadline) {
+    send(Now, Of, *Free);
     return;
   }
-  ++Counters.Held;
-  Of.Probed.clear();
-  Of.ProbeRounds = Policy.ProbeRounds - 1;
-  Of.ChooseAt = Now + Policy.HoldInterval;
-  setWake(Of);
+  Of.Choosing = false;
+  endWithoutAnswer(Now, Of, Reason::Overloaded);
 }
 
 void RequestFlow::send(Instant Now, Flow &Of, const RankedServer &To) {
@@ -248,27 +273,29 @@
   const auto Found = Probes.find(Id);
   if (Found == Probes.end())
     return;
-  const OpenProbe Purpose = Found->second;
+  const OpenProbe Probe = std::move(Found->second);
   Probes.erase(Found);
+  const auto Current = ProbesByServer.find(Probe.Server);
+  if (Current != ProbesByServer.end() && Current->second == Id)
+    ProbesByServer.erase(Current);
   const bool Other = Result.Answered && !Result.Server.value().empty() &&
-                     Result.Server != Purpose.Server;
+                     Result.Server != Probe.Server;
   if (!Result.Answered || Other) {
-    Board.noteFailure(Now, Purpose.Server, Other ? WrongServerWeight : 1);
+    Board.noteFailure(Now, Probe.Server, Other ? WrongServerWeight : 1);
   } else {
-    Board.noteFigures(Now, Purpose.Server, Result.Load);
-    Board.noteHealth(Purpose.Server, Result.Healthy);
+    Board.noteFigures(Now, Probe.Server, Result.Load);
+    Board.noteHealth(Probe.Server, Result.Healthy);
   }
-  if (Purpose.Fingerprint != 0) {
-    if (!Result.Answered)
-      Use.CrashSeen(Now, Purpose.Fingerprint, Purpose.Server);
-    return;
+  if (Probe.Fingerprint != 0 && !Result.Answered)
+    Use.CrashSeen(Now, Probe.Fingerprint, Probe.Server);
+  for (const RequestId Waiter : Probe.Waiters) {
+    const auto Owner = Flows.find(Waiter);
+    if (Owner == Flows.end())
+      continue;
+    Owner->second.OpenProbes.erase(Id);
+    if (Owner->second.Choosing)
+      choose(Now, Owner->second);
   }
-  const auto Owner = Flows.find(Purpose.Owner);
-  if (Owner == Flows.end())
-    return;
-  Owner->second.OpenProbes.erase(Id);
-  if (Owner->second.Choosing)
-    choose(Now, Owner->second);
 }
 
 void RequestFlow::onCallResult(Instant Now, CallId Id,
@@ -377,7 +404,7 @@
                               const ServiceSettings &Service) {
   const DiscoveredServer *Server = Registry.find(Call.Server);
   if (Server != nullptr)
-    probe(Service, *Server, {Call.Owner, Call.Server, Call.Fingerprint});
+    startProbe(Service, *Server, Call.Fingerprint);
 }
 
 bool RequestFlow::mayRepeat(Instant Now, const Flow &Of) {
--- a/direct/request_flow.h
+++ b/direct/request_flow.h
@@ -27,10 +27,15 @@
   /// Time for the answers of one round.
   Duration ProbeWait = std::chrono::milliseconds(15);
   Duration ProbeTimeout = std::chrono::milliseconds(400);
-  /// While every server is full, requests are held for this part of their
-  /// objective and probes are repeated.
-  double HoldShare = 0.12;
-  Duration HoldInterval = std::chrono::milliseconds(20);
+  /// Figures younger than this are not asked for again.
+  Duration ProbeAgainAfter = std::chrono::milliseconds(50);
+  /// A server is taken if this many times its expected time is left of the
+  /// objective; the most urgent requests need no such room.
+  double RoomFactor = 1.25;
+  /// While no server is expected to meet the objective, requests are held for
+  /// this part of it.
+  double HoldShare = 0.35;
+  Duration HoldInterval = std::chrono::milliseconds(25);
   /// Callers are told to come back after this.
   Duration RetryAfter = std::chrono::milliseconds(250);
   /// An idempotent request is doubled once it took this many usual times, or
@@ -88,6 +93,7 @@
     FlowRequest Request;
     std::set<ServerName> Tried;
     std::set<ServerName> Probed;
+    /// Probes whose answers the choice waits for.
     std::set<CallId> OpenProbes;
     std::set<CallId> OpenCalls;
     /// Calls that reached a server or may have.
@@ -116,18 +122,24 @@
     unsigned SlownessPercent = 100;
   };
   struct OpenProbe {
-    RequestId Owner;
     ServerName Server;
     /// Set if the probe checks whether a request crashed the server.
     std::uint64_t Fingerprint = 0;
+    std::vector<RequestId> Waiters;
   };
 
   void choose(Instant Now, Flow &Of);
   bool sendProbes(Instant Now, Flow &Of,
                   const std::vector<RankedServer> &Ranked);
-  void probe(const ServiceSettings &Service, const DiscoveredServer &Server,
-             OpenProbe Purpose);
-  void holdOrRefuse(Instant Now, Flow &Of);
+  /// The probe of the server that is already on its way, or a new one.
+  CallId probe(const ServiceSettings &Service, const DiscoveredServer &Server);
+  CallId startProbe(const ServiceSettings &Service,
+                    const DiscoveredServer &Server, std::uint64_t Fingerprint);
+  /// No server is expected to meet the objective: waits, then takes what there
+  /// is or sends the caller away.
+  void hold(Instant Now, Flow &Of, const RankedServer *Free);
+  bool fitsObjective(Instant Now, const Flow &Of,
+                     const RankedServer &Server) const;
   void send(Instant Now, Flow &Of, const RankedServer &To);
   void scheduleHedge(Instant Now, Flow &Of);
   void startHedge(Instant Now, Flow &Of);
@@ -163,6 +175,8 @@
   std::unordered_map<RequestId, Flow> Flows;
   std::unordered_map<CallId, OpenCall> Calls;
   std::unordered_map<CallId, OpenProbe> Probes;
+  /// The probe for load figures that is on its way to a server.
+  std::map<ServerName, CallId> ProbesByServer;
   std::set<std::pair<Instant, RequestId>> Timers;
   std::map<ServiceName, RetryAllowance> Allowances;
   std::uint64_t LastCall = 0;
--- a/direct/server_ranking.cpp
+++ b/direct/server_ranking.cpp
@@ -42,6 +42,8 @@
   Result.Server = &Server;
   const Duration Age = Now - Of.FiguresAt;
   const bool Known = Of.Figures && Age <= Policy.StaleAfter;
+  if (Of.Figures)
+    Result.FiguresAge = Age;
   // Nothing is learnt by asking a server that does not tell its load.
   const bool Silent = Of.TellsLoad.has_value() && !*Of.TellsLoad;
   Result.Fresh = Silent || (Of.Figures && Age <= Policy.FreshFor);
@@ -65,7 +67,8 @@
   Result.Full = Busy >= Slots * (1 + FullWaitingPerSlot);
   Result.Good = (Known || Silent) && Factor <= Policy.GoodFactor &&
                 Busy < Slots && Failures < 0.5 && !Of.Unhealthy;
-  Result.Cost = scaled(Usual, Factor) + scaled(Policy.FailureCost, Failures);
+  Result.Expected = scaled(Usual, Factor);
+  Result.Cost = Result.Expected + scaled(Policy.FailureCost, Failures);
   if (Server.DataCentre != DataCentre)
     Result.Cost += scaled(Usual, Policy.DistanceFactor);
   if (Of.Unhealthy)
--- a/direct/server_ranking.h
+++ b/direct/server_ranking.h
@@ -39,8 +39,12 @@
 /// A server with what is expected of it.
 struct RankedServer {
   const DiscoveredServer *Server = nullptr;
-  /// Expected time to the answer, with the costs of the policy.
+  /// Expected time to the answer.
+  Duration Expected{};
+  /// Expected time with the costs of the policy.
   Duration Cost{};
+  /// Time since the server told its load; the greatest value if it did not.
+  Duration FiguresAge = Duration::max();
   /// The figures are young enough to rely on.
   bool Fresh = false;
   /// The server is expected to answer about as fast as it usually does.
--- a/direct/table_mirror.cpp
+++ b/direct/table_mirror.cpp
@@ -47,6 +47,7 @@
   const bool WasThere = Found != Rows.end() && !Found->second.Removed;
   const bool SameValue = WasThere && Found->second.Value == Row.Value;
   Rows[Row.Key] = Row;
+  Newest = std::max(Newest, Row.Version);
   if (Row.Removed ? WasThere : !SameValue)
     Changed(Row);
 }
@@ -67,7 +68,7 @@
 }
 
 TableRows TableMirror::rowsAfter(StoreTable Table, std::uint64_t After) const {
-  TableRows Result{Table, Version, After < RemovalsSince, {}};
+  TableRows Result{Table, Newest, After < RemovalsSince, {}};
   for (const auto &[Key, Row] : Rows) {
     const bool Wanted = Result.Whole ? !Row.Removed : Row.Version > After;
     if (Wanted)
--- a/direct/table_mirror.h
+++ b/direct/table_mirror.h
@@ -28,6 +28,9 @@
 
   /// Version up to which the copy is whole.
   std::uint64_t version() const { return Version; }
+  /// Version of the row that changed last. Unlike version() it stays the same
+  /// while other tables change.
+  std::uint64_t newest() const { return Newest; }
   /// What changed after \p After, or all rows if that is no longer known.
   TableRows rowsAfter(StoreTable Table, std::uint64_t After) const;
 
@@ -38,6 +41,7 @@
   const ChangeHook Changed;
   std::map<std::string, TableRow> Rows;
   std::uint64_t Version = 0;
+  std::uint64_t Newest = 0;
   /// Removals up to this version are no longer kept.
   std::uint64_t RemovalsSince = 0;
 };
