--- a/core/peer_messages.h
+++ b/core/peer_messages.h
@@ -264,12 +264,18 @@
   std::uint64_t After = 0;
 };
 
-/// Rows as the sender knows them up to a version.
+/// Rows as the sender knows them up to a version; without rows, the sign that
+/// the sender keeps up with the store.
 struct TableRows {
   StoreTable Table = StoreTable::Routes;
+  /// The rows are all that changed after this version.
+  std::uint64_t After = 0;
   std::uint64_t UpTo = 0;
   /// All rows of the table, instead of what changed.
   bool Whole = false;
+  /// Time since the store confirmed to the sender that this is the latest;
+  /// nothing if the sender does not read the store.
+  std::optional<Duration> ConfirmedAgo;
   std::vector<TableRow> Rows;
 };
 
--- a/daemon/direct_host_process.cpp
+++ b/daemon/direct_host_process.cpp
@@ -20,12 +20,14 @@
 constexpr Duration StoreTimeout = std::chrono::milliseconds(1500);
 /// The clock starts here, so that a time of zero always lies in the past.
 constexpr Duration ClockOffset = std::chrono::hours(1);
-/// The row of this host is written again after this if the store was away.
-constexpr Duration RegisterRetry = std::chrono::seconds(1);
-/// Peers are read again soon after the start, when others start too, and
-/// seldom after that.
-constexpr Duration FirstPeerRead = std::chrono::milliseconds(700);
-constexpr Duration PeerReadInterval = std::chrono::seconds(15);
+/// How often a host looks whether it has to be found by others, or to find
+/// them, through the store.
+constexpr Duration MeetInterval = std::chrono::seconds(5);
+constexpr Duration FirstMeet = std::chrono::milliseconds(900);
+/// Hosts of the first ranks keep a row in the store each, and read those of the
+/// others now and then, so that parts of the fleet that lost each other meet.
+constexpr std::size_t MeetingRanks = 4;
+constexpr unsigned RoundsPerRead = 3;
 /// Part of the grace during which a stopping host takes new connections, for
 /// callers that have not asked for the entry hosts since.
 constexpr double AcceptingPart = 0.45;
@@ -41,7 +43,7 @@
 /// Periods that keep the traffic between data centres low; a host that is
 /// gone is noticed within about two seconds.
 constexpr MembershipTimes FleetTimes = {
-    std::chrono::milliseconds(500), std::chrono::milliseconds(300),
+    std::chrono::milliseconds(800), std::chrono::milliseconds(300),
     std::chrono::milliseconds(700), std::chrono::milliseconds(800),
     std::chrono::minutes(2)};
 
@@ -90,10 +92,9 @@
 
 struct DirectHostProcess::Timers {
   explicit Timers(asio::io_context &Context)
-      : Core(Context), Register(Context), Peers(Context), Stop(Context) {}
+      : Core(Context), Meeting(Context), Stop(Context) {}
   asio::steady_timer Core;
-  asio::steady_timer Register;
-  asio::steady_timer Peers;
+  asio::steady_timer Meeting;
   asio::steady_timer Stop;
 };
 
@@ -168,6 +169,10 @@
   };
   Result.ReadConfiguration = readConfiguration;
   Result.ReadServer = readServer;
+  Result.ReadStore = [this](ReadMode Mode) {
+    RouteFollower.follow(Mode);
+    ServerFollower.follow(Mode);
+  };
   Result.Configured = [this](const RouteConfiguration &Configuration) {
     configure(Configuration);
   };
@@ -198,6 +203,7 @@
     if (Table == StoreTable::Servers)
       Core.onStoreRegained(now());
   };
+  Result.Known = [this, Table] { return Core.tableVersion(Table); };
   return Result;
 }
 
@@ -215,8 +221,7 @@
                        {"life", std::to_string(Life.value())}});
   RouteFollower.start();
   ServerFollower.start();
-  registerHost(1);
-  readPeers(1);
+  scheduleMeeting(FirstMeet, 1);
   settle();
   return boost::outcome_v2::success();
 }
@@ -333,26 +338,38 @@
   settle();
 }
 
-/// The row lets hosts that start later find this one.
-void DirectHostProcess::registerHost(unsigned Attempt) {
-  Store.writeRow(HostsTableName, Settings.Name.value(),
-                 writeHost(Settings.PeerAddress),
-                 [this, Attempt](const StoreResult<void> &Result) {
-                   if (Result.has_value() || Core.stopping())
-                     return;
-                   Log.error("host_row_not_written",
-                             {{"why", Result.error().message()},
-                              {"attempt", std::to_string(Attempt)}});
-                   Clock->Register.expires_after(RegisterRetry);
-                   Clock->Register.async_wait(
-                       [this, Attempt](boost::system::error_code Error) {
-                         if (!Error)
-                           registerHost(Attempt + 1);
-                       });
-                 });
+void DirectHostProcess::scheduleMeeting(Duration Pause, unsigned Round) {
+  Clock->Meeting.expires_after(Pause);
+  Clock->Meeting.async_wait([this, Round](boost::system::error_code Error) {
+    if (!Error && !Core.stopping())
+      meet(Round);
+  });
+}
+
+/// Seeds may be stale, so that hosts also find each other through the store.
+void DirectHostProcess::meet(unsigned Round) {
+  const bool Alone = Core.hosts() == 1;
+  const bool Listed = Core.rank() < MeetingRanks;
+  if (Listed && !Registered)
+    registerHost();
+  if (Alone || (Listed && Round % RoundsPerRead == 0))
+    readPeers();
+  scheduleMeeting(MeetInterval, Round + 1);
 }
 
-void DirectHostProcess::readPeers(unsigned Round) {
+void DirectHostProcess::registerHost() {
+  Registered = true;
+  Store.writeRow(
+      HostsTableName, Settings.Name.value(), writeHost(Settings.PeerAddress),
+      [this](const StoreResult<void> &Result) {
+        if (Result.has_value())
+          return;
+        Registered = false;
+        Log.error("host_row_not_written", {{"why", Result.error().message()}});
+      });
+}
+
+void DirectHostProcess::readPeers() {
   Store.readRows(HostsTableName, "", [this](StoreResult<StoreRows> Result) {
     if (Result.has_error()) {
       Log.error("host_rows_not_read", {{"why", Result.error().message()}});
@@ -366,11 +383,6 @@
         Log.error("host_row_unusable", {{"row", Row.Key}});
     Core.onPeerAddresses(std::move(Addresses));
   });
-  Clock->Peers.expires_after(Round == 1 ? FirstPeerRead : PeerReadInterval);
-  Clock->Peers.async_wait([this, Round](boost::system::error_code Error) {
-    if (!Error && !Core.stopping())
-      readPeers(Round + 1);
-  });
 }
 
 void DirectHostProcess::reload(const HostSettings &Next) {
@@ -397,12 +409,13 @@
              std::to_string(Settings.Direct->StopGrace.count() / 1000)}});
   Core.onStop(now());
   Callers.drain();
-  Store.removeRow(HostsTableName, Settings.Name.value(),
-                  [this](const StoreResult<void> &Result) {
-                    if (Result.has_error())
-                      Log.error("host_row_not_removed",
-                                {{"why", Result.error().message()}});
-                  });
+  if (Registered)
+    Store.removeRow(HostsTableName, Settings.Name.value(),
+                    [this](const StoreResult<void> &Result) {
+                      if (Result.has_error())
+                        Log.error("host_row_not_removed",
+                                  {{"why", Result.error().message()}});
+                    });
   settle();
   advanceStop();
 }
--- a/daemon/direct_host_process.h
+++ b/daemon/direct_host_process.h
@@ -58,8 +58,10 @@
   /// To be called after each event: sets the timer and hands logs on.
   void settle();
   void onTimer();
-  void registerHost(unsigned Attempt);
-  void readPeers(unsigned Round);
+  void scheduleMeeting(Duration Pause, unsigned Round);
+  void meet(unsigned Round);
+  void registerHost();
+  void readPeers();
   void advanceStop();
 
   boost::asio::io_context &Context;
@@ -83,6 +85,8 @@
   Instant TimerAt = Instant::max();
   Instant StopStartedAt{};
   bool CallersClosed = false;
+  /// This host's row is in the store, or on its way there.
+  bool Registered = false;
   std::unordered_map<RequestId, std::shared_ptr<HttpExchange>> Exchanges;
   std::unordered_map<CallId, std::shared_ptr<HttpCallHandle>> Calls;
   std::uint64_t LastRequest = 0;
--- a/daemon/table_follower.cpp
+++ b/daemon/table_follower.cpp
@@ -9,7 +9,10 @@
 namespace {
 
 /// A wait for changes lasts so long at most.
-constexpr Duration WaitTime = std::chrono::seconds(20);
+/// Others rely on this host to notice within that time, and a little more,
+/// that the store no longer answers.
+constexpr Duration CloseWait = std::chrono::seconds(1);
+constexpr Duration StandbyWait = std::chrono::seconds(8);
 /// Changes that come soon after one another are fetched together.
 constexpr Duration GatherTime = std::chrono::milliseconds(150);
 constexpr Duration FirstRetry = std::chrono::milliseconds(100);
@@ -41,11 +44,13 @@
 
 void TableFollower::readFrom(const std::string &Key) {
   ++Calls;
+  ReadingWhole = true;
   if (Key.empty())
     Pages.clear();
   Store.readRows(Table, Key, [this, Key](StoreResult<StoreRows> Result) {
     if (Stopped)
       return;
+    ReadingWhole = false;
     if (Result.has_error()) {
       onFailure(Result.error());
       return;
@@ -64,29 +69,58 @@
     readFrom(Pages.back().Key + '\x01');
     return;
   }
-  if (Failures > 0) {
-    Log.info("store_regained",
-             {{"table", Table}, {"failures", std::to_string(Failures)}});
-    Use.Regained();
-  }
-  Failures = 0;
+  noteAnswered();
+  const std::uint64_t Before = Use.Known();
   if (!Use.Whole(Pages, PagesVersion)) {
-    Log.info("store_read_is_old",
-             {{"table", Table}, {"version", std::to_string(PagesVersion)}});
+    Log.info("store_read_is_old", {{"table", Table},
+                                   {"version", std::to_string(PagesVersion)},
+                                   {"known", std::to_string(Before)}});
     later(FirstRetry, [this] { readFrom(""); });
     return;
   }
-  Version = PagesVersion;
+  Begun = true;
   Log.info("table_read", {{"table", Table},
                           {"rows", std::to_string(Pages.size())},
-                          {"version", std::to_string(Version)}});
+                          {"version", std::to_string(PagesVersion)}});
   Pages.clear();
-  awaitChanges();
+  proceed();
+}
+
+void TableFollower::noteAnswered() {
+  if (Failures == 0)
+    return;
+  Log.info("store_regained",
+           {{"table", Table}, {"failures", std::to_string(Failures)}});
+  Failures = 0;
+  Use.Regained();
+}
+
+void TableFollower::follow(ReadMode Next) {
+  if (Next == Mode || Stopped)
+    return;
+  Mode = Next;
+  if (!Begun || ReadingWhole)
+    return;
+  Delay->Value.cancel();
+  if (Waiting)
+    Waiting->cancel();
+  Waiting.reset();
+  if (Mode == ReadMode::Close)
+    awaitChanges(Duration::zero());
+  else if (Mode == ReadMode::None)
+    noteAnswered();
+  else
+    proceed();
+}
+
+void TableFollower::proceed() {
+  if (Mode != ReadMode::None)
+    awaitChanges(Mode == ReadMode::Close ? CloseWait : StandbyWait);
 }
 
-void TableFollower::awaitChanges() {
+void TableFollower::awaitChanges(Duration Wait) {
   ++Calls;
-  Waiting = Store.awaitChanges(Table, Version, WaitTime,
+  Waiting = Store.awaitChanges(Table, Use.Known(), Wait,
                                [this](StoreResult<StoreRows> Result) {
                                  if (!Stopped)
                                    onChanges(std::move(Result));
@@ -96,7 +130,7 @@
 void TableFollower::onChanges(StoreResult<StoreRows> Result) {
   if (Result.has_error() && Result.error() == StoreError::HistoryGone) {
     Log.info("store_history_gone",
-             {{"table", Table}, {"after", std::to_string(Version)}});
+             {{"table", Table}, {"after", std::to_string(Use.Known())}});
     readFrom("");
     return;
   }
@@ -104,20 +138,20 @@
     onFailure(Result.error());
     return;
   }
+  noteAnswered();
   const StoreRows &Changes = Result.value();
-  Version = std::max(Version, Changes.Version);
-  Use.Changed(Changes.Rows, Version);
+  Use.Changed(Changes.Rows, Changes.Version);
   if (Changes.Rows.empty())
-    awaitChanges();
+    proceed();
   else
-    later(GatherTime, [this] { awaitChanges(); });
+    later(GatherTime, [this] { proceed(); });
 }
 
 void TableFollower::onFailure(const std::error_code &Error) {
   if (Failures++ == 0) {
     Log.error("store_lost", {{"table", Table},
                              {"why", Error.message()},
-                             {"version", std::to_string(Version)}});
+                             {"known", std::to_string(Use.Known())}});
     Use.Lost();
   }
   Duration Pause = FirstRetry;
@@ -128,7 +162,12 @@
       std::uniform_real_distribution<double>(0, RetrySpread)(Random);
   Pause += Duration(
       static_cast<Duration::rep>(static_cast<double>(Pause.count()) * Spread));
-  later(Pause, [this] { readFrom(""); });
+  later(Pause, [this] {
+    if (Begun)
+      awaitChanges(Duration::zero());
+    else
+      readFrom("");
+  });
 }
 
 void TableFollower::later(Duration Pause, std::function<void()> Next) {
--- a/daemon/table_follower.h
+++ b/daemon/table_follower.h
@@ -5,6 +5,7 @@
 
 #include "core/time.h"
 #include "daemon/event_log.h"
+#include "direct/table_relay.h"
 #include "platform/store_client.h"
 
 #include <functional>
@@ -19,7 +20,8 @@
 
 namespace mimosacart {
 
-/// Follows a table until stop() is called.
+/// Reads a table whole at the start, and waits for changes while it is told to
+/// follow.
 class TableFollower {
 public:
   struct Hooks {
@@ -30,8 +32,10 @@
         Changed;
     /// The first call failed after one that did not.
     std::function<void()> Lost;
-    /// The first whole table was read after a loss.
+    /// The store answered again after a loss, or others vouch for it.
     std::function<void()> Regained;
+    /// Version up to which the table is known, also from peers.
+    std::function<std::uint64_t()> Known;
   };
 
   TableFollower(boost::asio::io_context &Context, StoreClient &Store,
@@ -41,6 +45,7 @@
   TableFollower &operator=(const TableFollower &) = delete;
 
   void start() { readFrom(""); }
+  void follow(ReadMode Next);
   void stop();
   std::uint64_t calls() const { return Calls; }
 
@@ -49,7 +54,10 @@
 
   void readFrom(const std::string &Key);
   void onPage(StoreRows Page);
-  void awaitChanges();
+  /// Waits for changes, or asks for them at once if \p Wait is zero.
+  void awaitChanges(Duration Wait);
+  void proceed();
+  void noteAnswered();
   void onChanges(StoreResult<StoreRows> Result);
   void onFailure(const std::error_code &Error);
   void later(Duration Delay, std::function<void()> Next);
@@ -64,7 +72,10 @@
   /// Rows of the pages read so far, and the version of the first page.
   std::vector<TableRow> Pages;
   std::uint64_t PagesVersion = 0;
-  std::uint64_t Version = 0;
+  /// The table was read whole once.
+  bool Begun = false;
+  bool ReadingWhole = false;
+  ReadMode Mode = ReadMode::None;
   unsigned Failures = 0;
   std::uint64_t Calls = 0;
   bool Stopped = false;
--- a/direct/direct_node.cpp
+++ b/direct/direct_node.cpp
@@ -33,7 +33,7 @@
       Fleet(Settings.Fleet,
             {{StoreTable::Routes, &RouteRows},
              {StoreTable::Servers, &ServerRows}},
-            {Use.Send, Use.Log}),
+            {Use.Send, Use.ReadStore, Use.Log}),
       Flow(Settings.Flow, Settings.Retries,
            ServerRanking(Settings.Ranking, Settings.Fleet.Self.DataCentre,
                          Settings.Fleet.RandomSeed),
@@ -137,14 +137,19 @@
                         const std::vector<TableRow> &Rows,
                         std::uint64_t Version) {
   Now = At;
+  const std::uint64_t Before = mirror(Table).newest();
   mirror(Table).apply(Rows, Version);
+  Fleet.onConfirmed(Now, Table, !Rows.empty(), Before);
 }
 
 bool DirectNode::onWholeTable(Instant At, StoreTable Table,
                               const std::vector<TableRow> &Rows,
                               std::uint64_t Version) {
   Now = At;
-  return mirror(Table).replace(Rows, Version);
+  if (!mirror(Table).replace(Rows, Version))
+    return false;
+  Fleet.onConfirmed(Now, Table, false, mirror(Table).newest());
+  return true;
 }
 
 void DirectNode::onStoreLost(Instant At) {
--- a/direct/direct_node.h
+++ b/direct/direct_node.h
@@ -49,6 +49,8 @@
         ReadConfiguration;
     std::function<std::variant<DiscoveredServer, UnusableRow>(const TableRow &)>
         ReadServer;
+    /// How closely this host is to follow the store from now on.
+    std::function<void(ReadMode)> ReadStore;
     /// A configuration came into force.
     std::function<void(const RouteConfiguration &)> Configured;
     FlowLogHook Log;
@@ -89,10 +91,13 @@
   bool stopping() const { return Stopping; }
   /// Addresses that callers should use, each once.
   std::vector<std::string> callerAddresses() const;
+  /// Version up to which the table is known, from the store or from peers.
   std::uint64_t tableVersion(StoreTable Table) const {
     return Table == StoreTable::Routes ? RouteRows.version()
                                        : ServerRows.version();
   }
+  /// Place of this host among those that read the store for the others.
+  std::size_t rank() const { return Fleet.rank(); }
   std::uint64_t configurationVersion() const {
     return Routes ? Configuration->Version : 0;
   }
--- a/direct/fleet_view.cpp
+++ b/direct/fleet_view.cpp
@@ -9,23 +9,29 @@
 
 /// How often the failure detector looks at its timers.
 constexpr Duration TickInterval = std::chrono::milliseconds(100);
-/// Rows are not asked for again before this.
-constexpr Duration AskInterval = std::chrono::milliseconds(500);
-
-/// Rows up to this version are known, from the store or from peers.
-std::uint64_t knownVersion(const TableMirror &Mirror) {
-  return std::max(Mirror.version(), Mirror.newest());
-}
 
 } // namespace
 
 FleetView::FleetView(FleetSettings Given,
                      std::map<StoreTable, TableMirror *> Tables, Hooks Use)
-    : Settings(std::move(Given)), Tables(std::move(Tables)),
-      Use(std::move(Use)), LastEvent(Settings.RandomSeed),
-      Notices(NoticeTimes{}),
+    : Settings(std::move(Given)), Use(std::move(Use)),
+      LastEvent(Settings.RandomSeed), Notices(NoticeTimes{}),
+      Relay(Settings.Self.Host, Settings.Self.DataCentre, Settings.Relay,
+            std::move(Tables), relayHooks()),
       Members(Settings.Self, Settings.Seeds, Settings.Times,
-              Settings.RandomSeed, membershipHooks()) {}
+              Settings.RandomSeed, membershipHooks()) {
+  Relay.setMembers(Members.all());
+}
+
+TableRelay::Hooks FleetView::relayHooks() {
+  TableRelay::Hooks Result;
+  Result.Send = [this](const HostName &Host, PeerBody Body) {
+    sendTo(Host, std::move(Body));
+  };
+  Result.Read = Use.ReadStore;
+  Result.Log = Use.Log;
+  return Result;
+}
 
 Membership::Hooks FleetView::membershipHooks() {
   Membership::Hooks Result;
@@ -36,7 +42,7 @@
     onMemberChanged(Record, Source);
   };
   Result.Extras = [this] {
-    return PingExtras{digest(), std::nullopt, versions()};
+    return PingExtras{digest(), std::nullopt, Relay.versions()};
   };
   return Result;
 }
@@ -64,6 +70,9 @@
            {"leaving", Record.Leaving ? "yes" : "no"},
            {"life", std::to_string(Record.Life.value())},
            {"source", Source == NewsSource::FirstHand ? "seen" : "told"}});
+  std::vector<MemberRecord> Present = Members.reachablePeers();
+  Present.push_back(Members.self());
+  Relay.setMembers(Present);
   if (Source != NewsSource::FirstHand)
     return;
   SoftState News;
@@ -78,7 +87,7 @@
   NextTick = Now + TickInterval;
   Members.tick(Now);
   Notices.expire(Now);
-  askForRows();
+  Relay.tick(Now);
 }
 
 void FleetView::setSeeds(std::vector<std::string> Addresses) {
@@ -122,9 +131,10 @@
   return Notices.crashCount(Now, Fingerprint);
 }
 
-TableVersions FleetView::versions() const {
-  return {Tables.at(StoreTable::Routes)->newest(),
-          Tables.at(StoreTable::Servers)->newest()};
+void FleetView::onConfirmed(Instant At, StoreTable Table, bool Changed,
+                            std::uint64_t Before) {
+  Now = At;
+  Relay.onConfirmed(Now, Table, Changed, Before);
 }
 
 void FleetView::onMessage(Instant At, const PeerMessage &Message) {
@@ -170,8 +180,7 @@
 /// Views that differ are mended by telling all of this host's.
 void FleetView::compare(const HostName &From, std::uint64_t Digest,
                         const TableVersions &Theirs) {
-  noteVersions(From, Theirs);
-  askForRows();
+  Relay.onVersions(Now, From, Theirs);
   if (Digest == digest())
     return;
   SoftState All;
@@ -180,57 +189,12 @@
   sendTo(From, std::move(All));
 }
 
-void FleetView::noteVersions(const HostName &From,
-                             const TableVersions &Theirs) {
-  for (const auto &[Table, Mirror] : Tables) {
-    const std::uint64_t Version = Theirs.of(Table);
-    if (Version <= knownVersion(*Mirror))
-      continue;
-    const auto [Place, Added] = Lags.try_emplace(Table);
-    Lag &Known = Place->second;
-    if (Added)
-      Known.Since = Now;
-    if (Version >= Known.Version) {
-      Known.Version = Version;
-      Known.Peer = From;
-    }
-  }
-}
-
-void FleetView::askForRows() {
-  for (auto Next = Lags.begin(); Next != Lags.end();) {
-    const auto Current = Next++;
-    const TableMirror &Mirror = *Tables.at(Current->first);
-    Lag &Known = Current->second;
-    if (knownVersion(Mirror) >= Known.Version) {
-      Lags.erase(Current);
-      continue;
-    }
-    // A host that knows nothing yet cannot serve, so it does not wait.
-    const bool Empty = Mirror.newest() == 0;
-    if (Now - Known.Since < (Empty ? Duration::zero() : Settings.HandOnAfter))
-      continue;
-    Known.Since = Now + AskInterval;
-    sendTo(Known.Peer, TableRequest{Current->first, Mirror.newest()});
-  }
-}
-
 void FleetView::handle(const HostName &From, const TableRequest &Message) {
-  sendTo(From,
-         Tables.at(Message.Table)->rowsAfter(Message.Table, Message.After));
+  Relay.onRequest(Now, From, Message);
 }
 
 void FleetView::handle(const HostName &From, const TableRows &Message) {
-  TableMirror &Mirror = *Tables.at(Message.Table);
-  Use.Log("rows_from_peer", {{"peer", From.value()},
-                             {"table", toString(Message.Table)},
-                             {"rows", std::to_string(Message.Rows.size())},
-                             {"version", std::to_string(Message.UpTo)},
-                             {"before", std::to_string(Mirror.newest())}});
-  if (Message.Whole)
-    Mirror.replace(Message.Rows, Message.UpTo);
-  else
-    Mirror.apply(Message.Rows, Message.UpTo);
+  Relay.onRows(Now, From, Message);
 }
 
 } // namespace mimosacart
--- a/direct/fleet_view.h
+++ b/direct/fleet_view.h
@@ -6,7 +6,7 @@
 #include "core/membership.h"
 #include "core/soft_notices.h"
 #include "direct/flow_events.h"
-#include "direct/table_mirror.h"
+#include "direct/table_relay.h"
 
 #include <functional>
 #include <map>
@@ -21,8 +21,7 @@
   std::vector<std::string> Seeds;
   MembershipTimes Times;
   std::uint64_t RandomSeed = 1;
-  /// How long a peer may be ahead before its rows are asked for.
-  Duration HandOnAfter = std::chrono::milliseconds(300);
+  RelayTimes Relay;
 };
 
 /// This host's side of the exchange between entry hosts.
@@ -30,6 +29,8 @@
 public:
   struct Hooks {
     std::function<void(const std::string &Address, const PeerMessage &)> Send;
+    /// How closely this host is to follow the store from now on.
+    std::function<void(ReadMode)> ReadStore;
     FlowLogHook Log;
   };
 
@@ -57,24 +58,20 @@
                 const ServerName &Server);
   std::size_t crashes(std::uint64_t Fingerprint) const;
 
-private:
-  /// A table of which a peer knows a later version than this host.
-  struct Lag {
-    Instant Since{};
-    HostName Peer;
-    std::uint64_t Version = 0;
-  };
+  /// See TableRelay::onConfirmed().
+  void onConfirmed(Instant Now, StoreTable Table, bool Changed,
+                   std::uint64_t Before);
+  std::size_t rank() const { return Relay.rank(); }
 
+private:
   Membership::Hooks membershipHooks();
+  TableRelay::Hooks relayHooks();
   void send(const std::string &Address, PeerBody Body);
   void sendTo(const HostName &Host, PeerBody Body);
   void broadcast(const PeerBody &Body);
   void compare(const HostName &From, std::uint64_t Digest,
                const TableVersions &Theirs);
-  void noteVersions(const HostName &From, const TableVersions &Theirs);
-  void askForRows();
   void onMemberChanged(const MemberRecord &Record, NewsSource Source);
-  TableVersions versions() const;
   std::uint64_t digest() const { return Members.digest() + Notices.digest(); }
 
   void handle(const HostName &From, const Ping &Message);
@@ -85,7 +82,6 @@
   void handle(const HostName &From, const TableRows &Message);
 
   const FleetSettings Settings;
-  const std::map<StoreTable, TableMirror *> Tables;
   const Hooks Use;
   /// Time of the event that is being handled.
   Instant Now{};
@@ -93,8 +89,8 @@
   std::uint64_t LastSequence = 0;
   std::uint64_t LastEvent = 0;
   SoftNotices Notices;
+  TableRelay Relay;
   Membership Members;
-  std::map<StoreTable, Lag> Lags;
 };
 
 } // namespace mimosacart
--- a/direct/table_mirror.cpp
+++ b/direct/table_mirror.cpp
@@ -68,7 +68,11 @@
 }
 
 TableRows TableMirror::rowsAfter(StoreTable Table, std::uint64_t After) const {
-  TableRows Result{Table, Newest, After < RemovalsSince, {}};
+  TableRows Result;
+  Result.Table = Table;
+  Result.After = After;
+  Result.UpTo = Newest;
+  Result.Whole = After < RemovalsSince;
   for (const auto &[Key, Row] : Rows) {
     const bool Wanted = Result.Whole ? !Row.Removed : Row.Version > After;
     if (Wanted)
--- /dev/null
+++ b/direct/table_relay.cpp
@@ -0,0 +1,212 @@
+#include "direct/table_relay.h"
+
+#include "core/hash.h"
+
+#include <algorithm>
+
+namespace mimosacart {
+
+namespace {
+
+constexpr std::size_t Readers = 2;
+
+/// Rows up to this version are known, from the store or from peers.
+std::uint64_t knownVersion(const TableMirror &Mirror) {
+  return std::max(Mirror.version(), Mirror.newest());
+}
+
+/// Readers come first, in different data centres if there are several.
+std::vector<MemberRecord> orderByRank(std::vector<MemberRecord> Members) {
+  std::sort(Members.begin(), Members.end(),
+            [](const MemberRecord &Left, const MemberRecord &Right) {
+              return stableHash(Left.Host.value()) <
+                     stableHash(Right.Host.value());
+            });
+  const auto Elsewhere = std::find_if(
+      Members.begin(), Members.end(), [&Members](const MemberRecord &Each) {
+        return Each.DataCentre != Members.front().DataCentre;
+      });
+  if (Elsewhere != Members.end())
+    std::rotate(Members.begin() + 1, Elsewhere, Elsewhere + 1);
+  return Members;
+}
+
+} // namespace
+
+const char *toString(ReadMode Value) {
+  switch (Value) {
+  case ReadMode::None:
+    return "none";
+  case ReadMode::Standby:
+    return "standby";
+  case ReadMode::Close:
+    return "close";
+  }
+  return "none";
+}
+
+TableRelay::TableRelay(HostName Self, std::string DataCentre, RelayTimes Times,
+                       std::map<StoreTable, TableMirror *> Mirrors, Hooks Use)
+    : Self(std::move(Self)), DataCentre(std::move(DataCentre)), Times(Times),
+      Use(std::move(Use)) {
+  for (const auto &[Table, Mirror] : Mirrors)
+    Tables[Table].Mirror = Mirror;
+}
+
+void TableRelay::setMembers(const std::vector<MemberRecord> &Members) {
+  std::vector<MemberRecord> Group = Members;
+  if (Members.size() > MaxGroup)
+    std::erase_if(Group, [this](const MemberRecord &Each) {
+      return Each.DataCentre != DataCentre;
+    });
+  Group = orderByRank(std::move(Group));
+  Others.clear();
+  Rank = Group.size();
+  for (std::size_t Place = 0; Place < Group.size(); ++Place) {
+    if (Group[Place].Host == Self)
+      Rank = Place;
+    else
+      Others.push_back(Group[Place].Host);
+  }
+}
+
+TableVersions TableRelay::versions() const {
+  return {Tables.at(StoreTable::Routes).Mirror->newest(),
+          Tables.at(StoreTable::Servers).Mirror->newest()};
+}
+
+bool TableRelay::confirmedSince(Instant Since) const {
+  return std::all_of(Tables.begin(), Tables.end(), [Since](const auto &Entry) {
+    return Entry.second.ConfirmedAt && *Entry.second.ConfirmedAt >= Since;
+  });
+}
+
+void TableRelay::tick(Instant Now) {
+  if (!StartedAt)
+    StartedAt = Now;
+  decide(Now);
+  for (auto &[Table, Of] : Tables) {
+    if (!Of.Ahead || Now < Of.AskAt)
+      continue;
+    if (knownVersion(*Of.Mirror) >= Of.AheadVersion) {
+      Of.Ahead.reset();
+      continue;
+    }
+    Of.AskAt = Now + Times.AskAfter * 2;
+    Use.Send(*Of.Ahead, TableRequest{Table, Of.Mirror->newest()});
+  }
+}
+
+void TableRelay::decide(Instant Now) {
+  // Before the fleet is known, every host would take itself for a reader.
+  if (Now - *StartedAt < Times.FindPeers)
+    return;
+  if (Rank == 0) {
+    setMode(ReadMode::Close, "reader");
+    return;
+  }
+  const bool IsStandIn = Rank < Readers;
+  const std::size_t Step = std::min<std::size_t>(Rank, Others.size());
+  const Duration Spread =
+      Times.ReadSpread * static_cast<Duration::rep>(Step) /
+      static_cast<Duration::rep>(std::max<std::size_t>(1, Others.size()));
+  const Duration Patience =
+      IsStandIn ? Times.StandInAfter : Times.ReadAfter + Spread;
+  if (!confirmedSince(Now - Patience)) {
+    ReadUntil = Now + Times.ReadAtLeast;
+    setMode(ReadMode::Close, "not_told");
+    return;
+  }
+  if (Now >= ReadUntil)
+    setMode(IsStandIn ? ReadMode::Standby : ReadMode::None, "told_by_reader");
+}
+
+void TableRelay::setMode(ReadMode Next, const char *Why) {
+  if (Next == Mode)
+    return;
+  Mode = Next;
+  Use.Log("store_reading", {{"mode", toString(Next)},
+                            {"why", Why},
+                            {"rank", std::to_string(Rank)},
+                            {"hosts", std::to_string(Others.size() + 1)}});
+  Use.Read(Next);
+}
+
+void TableRelay::onConfirmed(Instant Now, StoreTable Table, bool Changed,
+                             std::uint64_t Before) {
+  State &Of = Tables.at(Table);
+  Of.ConfirmedAt = Now;
+  if (Mode == ReadMode::None)
+    return;
+  // One reader sends the rows; the others are asked if these are lost.
+  const bool SendRows = Changed && Rank == 0;
+  TableRows News =
+      Of.Mirror->rowsAfter(Table, SendRows ? Before : Of.Mirror->newest());
+  News.ConfirmedAgo = Duration::zero();
+  for (const HostName &Host : Others)
+    Use.Send(Host, News);
+}
+
+void TableRelay::noteAhead(Instant Now, State &Of, const HostName &From,
+                           std::uint64_t Version) {
+  if (Version <= knownVersion(*Of.Mirror))
+    return;
+  // A host that knows nothing yet cannot serve, so it does not wait.
+  if (!Of.Ahead)
+    Of.AskAt = Of.Mirror->newest() == 0 ? Now : Now + Times.AskAfter;
+  if (Version >= Of.AheadVersion) {
+    Of.AheadVersion = Version;
+    Of.Ahead = From;
+  }
+}
+
+void TableRelay::onVersions(Instant Now, const HostName &From,
+                            const TableVersions &Theirs) {
+  for (auto &[Table, Of] : Tables)
+    noteAhead(Now, Of, From, Theirs.of(Table));
+  tick(Now);
+}
+
+void TableRelay::onRequest(Instant Now, const HostName &From,
+                           const TableRequest &Message) {
+  const State &Of = Tables.at(Message.Table);
+  TableRows Rows = Of.Mirror->rowsAfter(Message.Table, Message.After);
+  if (Of.ConfirmedAt)
+    Rows.ConfirmedAgo = Now - *Of.ConfirmedAt;
+  Use.Send(From, std::move(Rows));
+}
+
+void TableRelay::onRows(Instant Now, const HostName &From,
+                        const TableRows &Message) {
+  State &Of = Tables.at(Message.Table);
+  // Rows that follow on versions unknown here would leave a gap.
+  const bool Follows =
+      Message.Whole || Message.After <= knownVersion(*Of.Mirror);
+  if (!Follows) {
+    noteAhead(Now, Of, From, Message.UpTo);
+    return;
+  }
+  if (!Message.Rows.empty()) {
+    Use.Log("rows_from_peer",
+            {{"peer", From.value()},
+             {"table", toString(Message.Table)},
+             {"rows", std::to_string(Message.Rows.size())},
+             {"version", std::to_string(Message.UpTo)},
+             {"before", std::to_string(Of.Mirror->newest())}});
+    if (Message.Whole)
+      Of.Mirror->replace(Message.Rows, Message.UpTo);
+    else
+      Of.Mirror->apply(Message.Rows, Message.UpTo);
+  }
+  const bool UpToDate = knownVersion(*Of.Mirror) >= Message.UpTo;
+  if (!UpToDate) {
+    noteAhead(Now, Of, From, Message.UpTo);
+    return;
+  }
+  if (!Message.ConfirmedAgo)
+    return;
+  const Instant At = Now - *Message.ConfirmedAgo;
+  Of.ConfirmedAt = std::max(Of.ConfirmedAt.value_or(At), At);
+}
+
+} // namespace mimosacart
--- /dev/null
+++ b/direct/table_relay.h
@@ -0,0 +1,117 @@
+/// \file
+/// Decides which hosts read the store, and hands rows on to the others.
+#pragma once
+
+#include "core/membership.h"
+#include "direct/flow_events.h"
+#include "direct/table_mirror.h"
+
+#include <functional>
+#include <map>
+#include <optional>
+#include <vector>
+
+namespace mimosacart {
+
+/// Constants of TableRelay.
+struct RelayTimes {
+  /// How long a peer may be ahead before its rows are asked for.
+  Duration AskAfter = std::chrono::milliseconds(250);
+  /// A host that nobody confirmed to be up to date for this long reads the
+  /// store itself.
+  Duration ReadAfter = std::chrono::milliseconds(1500);
+  /// The second reader asks the store more often if it was not told so for
+  /// this long.
+  Duration StandInAfter = std::chrono::milliseconds(1150);
+  /// Hosts that begin to read for that reason are spread over this time.
+  Duration ReadSpread = std::chrono::milliseconds(200);
+  /// Such a host goes on reading for this long.
+  Duration ReadAtLeast = std::chrono::seconds(2);
+  /// Time from the start in which peers are found.
+  Duration FindPeers = std::chrono::milliseconds(700);
+};
+
+/// How closely a host is to follow the store.
+enum class ReadMode : std::uint8_t {
+  /// Others read it.
+  None,
+  /// Changes are waited for; the next one may be long in coming.
+  Standby,
+  /// The store is asked often enough to vouch for what others know.
+  Close,
+};
+
+/// Word used for \p Value in logs.
+const char *toString(ReadMode Value);
+
+/// Two hosts read the store for all of a group, the second as a stand-in; the
+/// others are told by them and read it themselves whenever they are not told
+/// that they are up to date.
+///
+/// Every host judges by what it was told last, so a reader that lost the store
+/// or its peers costs time, never a state that stays old.
+class TableRelay {
+public:
+  struct Hooks {
+    std::function<void(const HostName &, PeerBody)> Send;
+    std::function<void(ReadMode)> Read;
+    FlowLogHook Log;
+  };
+
+  /// Beyond this many hosts each data centre has readers of its own.
+  static constexpr std::size_t MaxGroup = 100;
+
+  TableRelay(HostName Self, std::string DataCentre, RelayTimes Times,
+             std::map<StoreTable, TableMirror *> Tables, Hooks Use);
+
+  /// The hosts that are there, this one included, have changed.
+  void setMembers(const std::vector<MemberRecord> &Members);
+  /// The store confirmed that this host knows the latest rows; \p Changed
+  /// tells whether it sent new ones, known up to \p Before until then.
+  void onConfirmed(Instant Now, StoreTable Table, bool Changed,
+                   std::uint64_t Before);
+  /// A peer told which rows it knows.
+  void onVersions(Instant Now, const HostName &From,
+                  const TableVersions &Theirs);
+  void onRequest(Instant Now, const HostName &From,
+                 const TableRequest &Message);
+  void onRows(Instant Now, const HostName &From, const TableRows &Message);
+  void tick(Instant Now);
+
+  ReadMode mode() const { return Mode; }
+  /// This host's place among all of its group; the first ones are readers.
+  std::size_t rank() const { return Rank; }
+  TableVersions versions() const;
+
+private:
+  struct State {
+    TableMirror *Mirror = nullptr;
+    /// When somebody last confirmed that this host was up to date.
+    std::optional<Instant> ConfirmedAt;
+    /// A peer that knows more, its version, and when to ask it.
+    std::optional<HostName> Ahead;
+    std::uint64_t AheadVersion = 0;
+    Instant AskAt{};
+  };
+
+  void noteAhead(Instant Now, State &Of, const HostName &From,
+                 std::uint64_t Version);
+  void decide(Instant Now);
+  void setMode(ReadMode Next, const char *Why);
+  bool confirmedSince(Instant Since) const;
+
+  const HostName Self;
+  const std::string DataCentre;
+  const RelayTimes Times;
+  const Hooks Use;
+  std::map<StoreTable, State> Tables;
+  /// Hosts of the group without this one.
+  std::vector<HostName> Others;
+  /// This host's place among those that may read; 0 and 1 are the readers.
+  std::size_t Rank = 0;
+  ReadMode Mode = ReadMode::None;
+  Instant ReadUntil{};
+  std::optional<Instant> StartedAt;
+};
+
+} // namespace mimosacart
--- /dev/null
+++ b/tests/direct/flow_harness.cpp
@@ -0,0 +1,157 @@
+#include "tests/direct/flow_harness.h"
+
+#include <algorithm>
+#include <stdexcept>
+
+namespace mimosacart {
+
+using namespace std::chrono_literals;
+
+namespace {
+
+HostRoute makeRoute() {
+  HostRoute Route;
+  Route.Name = "lookup";
+  Route.Idempotent = true;
+  Route.Timeout = 1s;
+  Route.Objective = 400ms;
+  Route.Priority = 1;
+  Route.MaxAttempts = 2;
+  Route.Services = {{ServiceName("records"), 1}};
+  return Route;
+}
+
+} // namespace
+
+FlowHarness::FlowHarness(FlowPolicy Policy, RetryBound Bound)
+    : Route(makeRoute()),
+      Registry([](const DiscoveredServer &, ServerChange) {}),
+      Flow(Policy, Bound, ServerRanking(RankingPolicy{}, "here", 1), Registry,
+           Board, Now - 1h, hooks()) {}
+
+RequestFlow::Hooks FlowHarness::hooks() {
+  RequestFlow::Hooks Result;
+  Result.Call = [this](const DirectCall &Call) { Calls.push_back(Call); };
+  Result.Cancel = [this](CallId Id) {
+    Cancelled.push_back(Id);
+    std::erase_if(Calls,
+                  [Id](const DirectCall &Call) { return Call.Id == Id; });
+  };
+  Result.Probe = [this](const DirectProbe &Probe) { Probes.push_back(Probe); };
+  Result.Finished = [this](const FlowResult &Ended) {
+    if (!Results.emplace(Ended.Id, Ended).second)
+      throw std::logic_error("a request ended twice");
+  };
+  Result.Hosts = [] { return std::size_t{1}; };
+  Result.Crashes = [this](std::uint64_t Fingerprint) {
+    return CrashCounts[Fingerprint];
+  };
+  Result.CrashSeen = [this](Instant, std::uint64_t Fingerprint,
+                            const ServerName &) { ++CrashCounts[Fingerprint]; };
+  Result.Log = [](const char *, const FlowFields &) {};
+  return Result;
+}
+
+void FlowHarness::addServer(const std::string &Id) {
+  DiscoveredServer Server;
+  Server.Id = ServerName(Id);
+  Server.Service = ServiceName("records");
+  Server.Address = Id;
+  Server.DataCentre = "here";
+  Server.Slots = 2;
+  Registry.update(Now, Server);
+  Board.reset(Now, Server);
+}
+
+void FlowHarness::tellLoad(const std::string &Id, unsigned Running,
+                           unsigned Slowness) {
+  Board.noteFigures(Now, ServerName(Id), LoadFigures{Running, 0, 2, Slowness});
+}
+
+RequestId FlowHarness::start(const std::string &Body) {
+  CallerRequest Request;
+  Request.Method = "POST";
+  Request.Body = Body;
+  FlowRequest Next;
+  Next.Id = RequestId(++LastRequest);
+  Next.Route = Route;
+  Next.Service = {ServiceName("records"), "/health", 100};
+  Next.Request = std::make_shared<const CallerRequest>(std::move(Request));
+  Next.Arrived = Now;
+  Next.Deadline = Now + Route.Timeout;
+  Next.Fingerprint = std::hash<std::string>()(Body) | 1U;
+  Flow.start(Now, Next);
+  return RequestId(LastRequest);
+}
+
+DirectCall FlowHarness::take(const std::string &Server) {
+  const auto Found =
+      std::find_if(Calls.begin(), Calls.end(), [&](const DirectCall &Call) {
+        return Call.Server.Id.value() == Server;
+      });
+  if (Found == Calls.end())
+    throw std::logic_error("no call to " + Server);
+  DirectCall Call = *Found;
+  Calls.erase(Found);
+  return Call;
+}
+
+void FlowHarness::answer(const std::string &Server, unsigned Status,
+                         bool Signed) {
+  ServerCallResult Result{CallEnd::Answered, {}};
+  Result.Answer.Reply =
+      std::make_shared<const Answer>(Answer{Status, {}, Server});
+  Result.Answer.Signed = Signed;
+  Flow.onCallResult(Now, take(Server).Id, Result);
+}
+
+void FlowHarness::answerNotRun(const std::string &Server) {
+  ServerCallResult Result{CallEnd::Answered, {}};
+  Result.Answer.Reply = std::make_shared<const Answer>(Answer{503, {}, ""});
+  Result.Answer.NotRun = true;
+  Flow.onCallResult(Now, take(Server).Id, Result);
+}
+
+void FlowHarness::answerWrongServer(const std::string &Server) {
+  ServerCallResult Result{CallEnd::Answered, {}};
+  Result.Answer.Reply = std::make_shared<const Answer>(Answer{421, {}, ""});
+  Result.Answer.WrongServer = true;
+  Flow.onCallResult(Now, take(Server).Id, Result);
+}
+
+void FlowHarness::lose(const std::string &Server, CallEnd End) {
+  Flow.onCallResult(Now, take(Server).Id, {End, {}});
+}
+
+void FlowHarness::answerProbes(const LoadFigures &Figures) {
+  const std::vector<DirectProbe> Open = std::move(Probes);
+  Probes.clear();
+  for (const DirectProbe &Probe : Open)
+    Flow.onProbeResult(Now, Probe.Id, {true, true, Probe.Server.Id, Figures});
+}
+
+void FlowHarness::loseProbes() {
+  const std::vector<DirectProbe> Open = std::move(Probes);
+  Probes.clear();
+  for (const DirectProbe &Probe : Open)
+    Flow.onProbeResult(Now, Probe.Id, {});
+}
+
+void FlowHarness::pass(Duration Span) {
+  const Instant End = Now + Span;
+  while (Flow.nextTick() <= End) {
+    Now = std::max(Now, Flow.nextTick());
+    Flow.tick(Now);
+  }
+  Now = End;
+  Flow.tick(Now);
+}
+
+std::vector<std::string> FlowHarness::openCalls() const {
+  std::vector<std::string> Result;
+  for (const DirectCall &Call : Calls)
+    Result.push_back(Call.Server.Id.value());
+  return Result;
+}
+
+} // namespace mimosacart
--- /dev/null
+++ b/tests/direct/small_parts_test.cpp
@@ -0,0 +1,141 @@
+#include "direct/server_ranking.h"
+#include "direct/traffic_split.h"
+#include "direct/usual_times.h"
+
+#include <gtest/gtest.h>
+
+namespace mimosacart {
+namespace {
+
+using namespace std::chrono_literals;
+
+class ServerRankingTest : public testing::Test {
+protected:
+  const DiscoveredServer &add(const std::string &Id,
+                              const std::string &DataCentre = "here") {
+    DiscoveredServer Server;
+    Server.Id = ServerName(Id);
+    Server.DataCentre = DataCentre;
+    Server.Slots = 2;
+    Servers.push_back(std::make_unique<DiscoveredServer>(Server));
+    Board.reset(Now, Server);
+    return *Servers.back();
+  }
+
+  std::string best() {
+    std::vector<const DiscoveredServer *> Candidates;
+    for (const auto &Server : Servers)
+      Candidates.push_back(Server.get());
+    Ranked = Ranking.rank(Now, Candidates, Board, 100ms);
+    return Ranked.front().Server->Id.value();
+  }
+
+  void tell(const std::string &Id, unsigned Running, unsigned Slowness) {
+    Board.noteFigures(Now, ServerName(Id),
+                      LoadFigures{Running, 0, 2, Slowness});
+  }
+
+  Instant Now{1h};
+  LoadBoard Board;
+  ServerRanking Ranking{RankingPolicy{}, "here", 1};
+  std::vector<std::unique_ptr<DiscoveredServer>> Servers;
+  std::vector<RankedServer> Ranked;
+};
+
+TEST_F(ServerRankingTest, rank_slowedServer_comesLast) {
+  add("slow");
+  add("fast");
+  tell("slow", 0, 700);
+  tell("fast", 1, 100);
+  EXPECT_EQ(best(), "fast");
+  EXPECT_TRUE(Ranked.front().Good);
+  EXPECT_FALSE(Ranked.back().Good);
+}
+
+TEST_F(ServerRankingTest, rank_equalServers_prefersTheOwnDataCentre) {
+  add("far", "there");
+  add("near");
+  tell("far", 0, 100);
+  tell("near", 0, 100);
+  EXPECT_EQ(best(), "near");
+  tell("near", 0, 700);
+  EXPECT_EQ(best(), "far");
+}
+
+TEST_F(ServerRankingTest, rank_failedLately_isPassedOverForAWhile) {
+  add("failing");
+  add("sound", "there");
+  tell("failing", 0, 100);
+  tell("sound", 0, 100);
+  Board.noteFailure(Now, ServerName("failing"), 1);
+  EXPECT_EQ(best(), "sound");
+  Now += 30s;
+  tell("failing", 0, 100);
+  tell("sound", 0, 100);
+  EXPECT_EQ(best(), "failing");
+}
+
+TEST_F(ServerRankingTest, rank_callsStartedSinceTheFigures_countAsBusy) {
+  add("a");
+  tell("a", 1, 100);
+  best();
+  EXPECT_TRUE(Ranked.front().Good);
+  Board.noteStart(ServerName("a"));
+  best();
+  EXPECT_FALSE(Ranked.front().Good);
+}
+
+TEST_F(ServerRankingTest, rank_oldFigures_sayNothing) {
+  add("a");
+  tell("a", 0, 700);
+  Now += 1s;
+  best();
+  EXPECT_FALSE(Ranked.front().Fresh);
+  EXPECT_LT(Ranked.front().Expected, 200ms);
+}
+
+TEST_F(ServerRankingTest, rank_serverWithoutFigures_needsNoProbe) {
+  add("a");
+  Board.noteFigures(Now, ServerName("a"), std::nullopt);
+  best();
+  EXPECT_TRUE(Ranked.front().Fresh);
+  EXPECT_TRUE(Ranked.front().Good);
+}
+
+TEST_F(ServerRankingTest, rank_anotherIncarnation_startsWithoutHistory) {
+  const DiscoveredServer &Server = add("a");
+  Board.noteFailure(Now, Server.Id, 3);
+  Board.reset(Now, Server);
+  EXPECT_EQ(LoadBoard::failures(Now, *Board.find(Server.Id)), 0);
+}
+
+TEST(TrafficSplitTest, next_anyStretch_keepsTheWeights) {
+  HostRoute Route;
+  Route.Name = "r";
+  Route.Services = {{ServiceName("a"), 90}, {ServiceName("b"), 10}};
+  TrafficSplit Split;
+  unsigned Second = 0;
+  for (unsigned Count = 0; Count < 50; ++Count)
+    Second += Split.next(Route) == ServiceName("b") ? 1 : 0;
+  EXPECT_EQ(Second, 5U);
+}
+
+TEST(TrafficSplitTest, next_weightsChange_followsTheNewOnes) {
+  HostRoute Route;
+  Route.Name = "r";
+  Route.Services = {{ServiceName("a"), 90}, {ServiceName("b"), 10}};
+  TrafficSplit Split;
+  Split.next(Route);
+  Route.Services = {{ServiceName("b"), 1}};
+  EXPECT_EQ(Split.next(Route), ServiceName("b"));
+}
+
+TEST(UsualTimesTest, note_slowedServer_isCountedAsIfItWereNot) {
+  UsualTimes Times;
+  Times.note("r", 700ms, 700);
+  EXPECT_EQ(Times.usual("r", 1s), 100ms);
+  EXPECT_EQ(Times.usual("unknown", 1s), 350ms);
+}
+
+} // namespace
+} // namespace mimosacart
--- /dev/null
+++ b/tests/direct/table_mirror_test.cpp
@@ -0,0 +1,101 @@
+#include "direct/table_mirror.h"
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+namespace mimosacart {
+namespace {
+
+class TableMirrorTest : public testing::Test {
+protected:
+  std::vector<std::string> Changes;
+  TableMirror Mirror{[this](const TableRow &Row) {
+    Changes.push_back(Row.Key + "=" + (Row.Removed ? "gone" : Row.Value));
+  }};
+};
+
+using Strings = std::vector<std::string>;
+
+TEST_F(TableMirrorTest, apply_olderRow_changesNothing) {
+  Mirror.apply({{"a", 5, false, "new"}}, 5);
+  Mirror.apply({{"a", 4, false, "old"}}, 4);
+  EXPECT_EQ(Changes, Strings{"a=new"});
+  EXPECT_EQ(Mirror.version(), 5U);
+}
+
+TEST_F(TableMirrorTest, apply_removedThenOlderRow_staysRemoved) {
+  Mirror.apply({{"a", 5, false, "x"}}, 5);
+  Mirror.apply({{"a", 6, true, ""}}, 6);
+  Mirror.apply({{"a", 5, false, "x"}}, 6);
+  EXPECT_EQ(Changes, (Strings{"a=x", "a=gone"}));
+}
+
+TEST_F(TableMirrorTest, replace_olderThanKnown_isRefused) {
+  Mirror.apply({{"a", 5, false, "x"}}, 9);
+  EXPECT_FALSE(Mirror.replace({}, 8));
+  EXPECT_EQ(Changes, Strings{"a=x"});
+}
+
+TEST_F(TableMirrorTest, replace_missingRow_isGone) {
+  Mirror.apply({{"a", 5, false, "x"}, {"b", 6, false, "y"}}, 6);
+  EXPECT_TRUE(Mirror.replace({{"b", 6, false, "y"}}, 7));
+  EXPECT_EQ(Changes, (Strings{"a=x", "b=y", "a=gone"}));
+}
+
+TEST_F(TableMirrorTest, replace_rowsNewerThanTheRead_stay) {
+  // A peer was faster than this host's own read.
+  Mirror.apply({{"a", 5, false, "x"}}, 5);
+  Mirror.apply({{"b", 9, false, "y"}}, 5);
+  EXPECT_TRUE(Mirror.replace({{"a", 5, false, "x"}}, 7));
+  EXPECT_EQ(Changes, (Strings{"a=x", "b=y"}));
+}
+
+TEST_F(TableMirrorTest, rowsAfter_removalsForgotten_sendsAllRows) {
+  std::vector<TableRow> Rows;
+  for (std::uint64_t Version = 1; Version <= 1200; ++Version)
+    Rows.push_back({"k" + std::to_string(Version), Version, true, ""});
+  Rows.push_back({"kept", 1201, false, "v"});
+  Mirror.apply(Rows, 1201);
+  const TableRows All = Mirror.rowsAfter(StoreTable::Servers, 0);
+  EXPECT_TRUE(All.Whole);
+  ASSERT_EQ(All.Rows.size(), 1U);
+  EXPECT_EQ(All.Rows.front().Key, "kept");
+  EXPECT_FALSE(Mirror.rowsAfter(StoreTable::Servers, 1200).Whole);
+}
+
+/// Two mirrors that exchange what changed are equal afterwards, in whatever
+/// order and however often rows arrive.
+RC_GTEST_PROP(TableMirrorPropertyTest, rowsAfter_anyOrder_mirrorsAgree,
+              (std::vector<std::uint8_t> Steps)) {
+  std::map<std::string, std::string> Here;
+  std::map<std::string, std::string> There;
+  const auto Into = [](std::map<std::string, std::string> &State) {
+    return [&State](const TableRow &Row) {
+      if (Row.Removed)
+        State.erase(Row.Key);
+      else
+        State[Row.Key] = Row.Value;
+    };
+  };
+  TableMirror Source(Into(Here));
+  TableMirror Copy(Into(There));
+  std::uint64_t Version = 0;
+  for (const std::uint8_t Step : Steps) {
+    ++Version;
+    const std::string Key(1, static_cast<char>('a' + Step % 5));
+    Source.apply({{Key, Version, Step % 3 == 0, std::to_string(Version)}},
+                 Version);
+    if (Step % 4 == 0) {
+      const TableRows Rows =
+          Source.rowsAfter(StoreTable::Servers, Copy.newest());
+      Copy.apply(Rows.Rows, Rows.UpTo);
+      Copy.apply(Rows.Rows, Rows.UpTo);
+    }
+  }
+  const TableRows Rest = Source.rowsAfter(StoreTable::Servers, Copy.newest());
+  Copy.apply(Rest.Rows, Rest.UpTo);
+  RC_ASSERT(Here == There);
+}
+
+} // namespace
+} // namespace mimosacart
--- /dev/null
+++ b/tests/direct/table_relay_test.cpp
@@ -0,0 +1,176 @@
+#include "direct/table_relay.h"
+
+#include <gtest/gtest.h>
+
+namespace mimosacart {
+namespace {
+
+using namespace std::chrono_literals;
+
+/// Some hosts whose messages arrive at once unless they are cut off.
+class TableRelayTest : public testing::Test {
+protected:
+  struct Host {
+    std::map<std::string, std::string> Rows;
+    TableMirror Routes{[this](const TableRow &Row) {
+      if (Row.Removed)
+        Rows.erase(Row.Key);
+      else
+        Rows[Row.Key] = Row.Value;
+    }};
+    TableMirror Servers{[](const TableRow &) {}};
+    ReadMode Mode = ReadMode::None;
+    bool Cut = false;
+    std::unique_ptr<TableRelay> Relay;
+  };
+
+  TableRelayTest() {
+    std::vector<MemberRecord> Members;
+    for (unsigned Number = 0; Number < 5; ++Number) {
+      MemberRecord Member;
+      Member.Host = HostName("host-" + std::to_string(Number));
+      Member.DataCentre = Number % 2 == 0 ? "even" : "odd";
+      Members.push_back(Member);
+    }
+    for (const MemberRecord &Member : Members) {
+      Host &Made = Hosts[Member.Host];
+      TableRelay::Hooks Use;
+      Use.Send = [this, From = Member.Host](const HostName &To, PeerBody Body) {
+        deliver(From, To, std::move(Body));
+      };
+      Use.Read = [&Made](ReadMode Mode) { Made.Mode = Mode; };
+      Use.Log = [](const char *, const FlowFields &) {};
+      Made.Relay = std::make_unique<TableRelay>(
+          Member.Host, Member.DataCentre, RelayTimes{},
+          std::map<StoreTable, TableMirror *>{
+              {StoreTable::Routes, &Made.Routes},
+              {StoreTable::Servers, &Made.Servers}},
+          Use);
+      Made.Relay->setMembers(Members);
+    }
+  }
+
+  void deliver(const HostName &From, const HostName &To, PeerBody Body) {
+    Host &Target = Hosts.at(To);
+    if (Target.Cut || Hosts.at(From).Cut)
+      return;
+    if (const auto *Rows = std::get_if<TableRows>(&Body))
+      Target.Relay->onRows(Now, From, *Rows);
+    if (const auto *Wanted = std::get_if<TableRequest>(&Body))
+      Target.Relay->onRequest(Now, From, *Wanted);
+  }
+
+  /// Time passes; hosts that read ask the store about every second.
+  void pass(Duration Span) {
+    const Instant End = Now + Span;
+    while (Now < End) {
+      Now += 50ms;
+      const bool Asks = Now.time_since_epoch() % 1s == 0ms;
+      for (auto &[Name, Each] : Hosts) {
+        if (Asks && Each.Mode == ReadMode::Close && StoreAnswers)
+          read(Each);
+        Each.Relay->tick(Now);
+      }
+    }
+  }
+
+  void read(Host &Reader) {
+    const std::uint64_t Before = Reader.Routes.newest();
+    const bool News = Stored.Version > Before;
+    if (News)
+      Reader.Routes.apply({Stored}, Stored.Version);
+    Reader.Relay->onConfirmed(Now, StoreTable::Routes, News, Before);
+    Reader.Relay->onConfirmed(Now, StoreTable::Servers, false, 0);
+  }
+
+  std::size_t count(ReadMode Mode) const {
+    return static_cast<std::size_t>(
+        std::count_if(Hosts.begin(), Hosts.end(), [Mode](const auto &Entry) {
+          return Entry.second.Mode == Mode;
+        }));
+  }
+
+  Host &ranked(std::size_t Rank) {
+    for (auto &[Name, Each] : Hosts)
+      if (Each.Relay->rank() == Rank)
+        return Each;
+    throw std::logic_error("no such rank");
+  }
+
+  Instant Now{1h};
+  TableRow Stored{"config", 1, false, "one"};
+  bool StoreAnswers = true;
+  std::map<HostName, Host> Hosts;
+};
+
+TEST_F(TableRelayTest, tick_calmFleet_oneReadsAndOneStandsBy) {
+  pass(6s);
+  EXPECT_EQ(count(ReadMode::Close), 1U);
+  EXPECT_EQ(count(ReadMode::Standby), 1U);
+  EXPECT_EQ(ranked(0).Mode, ReadMode::Close);
+  EXPECT_EQ(ranked(1).Mode, ReadMode::Standby);
+}
+
+TEST_F(TableRelayTest, onConfirmed_change_reachesEveryHost) {
+  pass(3s);
+  Stored = {"config", 7, false, "two"};
+  pass(1100ms);
+  for (const auto &[Name, Each] : Hosts)
+    EXPECT_EQ(Each.Rows.at("config"), "two") << Name.value();
+}
+
+TEST_F(TableRelayTest, tick_readerCutOff_othersKnowTheChangeWithin2s) {
+  pass(3s);
+  ranked(0).Cut = true;
+  Stored = {"config", 7, false, "two"};
+  pass(2s);
+  for (const auto &[Name, Each] : Hosts) {
+    if (!Each.Cut) {
+      EXPECT_EQ(Each.Rows.at("config"), "two") << Name.value();
+    }
+  }
+}
+
+TEST_F(TableRelayTest, tick_bothReadersCutOff_othersReadThemselves) {
+  pass(3s);
+  ranked(0).Cut = true;
+  ranked(1).Cut = true;
+  pass(2s);
+  EXPECT_EQ(ranked(2).Mode, ReadMode::Close);
+  EXPECT_EQ(ranked(4).Mode, ReadMode::Close);
+}
+
+TEST_F(TableRelayTest, tick_storeBack_readersAloneGoOn) {
+  pass(3s);
+  StoreAnswers = false;
+  pass(4s);
+  EXPECT_EQ(count(ReadMode::Close), 5U);
+  StoreAnswers = true;
+  pass(6s);
+  EXPECT_EQ(count(ReadMode::Close), 1U);
+}
+
+TEST_F(TableRelayTest, onRows_gapBefore_asksInsteadOfTakingThem) {
+  pass(3s);
+  Host &Late = ranked(4);
+  TableRows Rows;
+  Rows.After = 20;
+  Rows.UpTo = 21;
+  Rows.Rows = {{"other", 21, false, "x"}};
+  Late.Relay->onRows(Now, HostName("host-0"), Rows);
+  EXPECT_FALSE(Late.Rows.contains("other"));
+  EXPECT_LT(Late.Routes.newest(), 21U);
+}
+
+TEST_F(TableRelayTest, onVersions_nothingKnown_asksAtOnce) {
+  Host &Late = ranked(3);
+  Host &Ready = ranked(2);
+  Ready.Routes.apply({{"config", 4, false, "x"}}, 4);
+  for (const auto &[Name, Each] : Hosts)
+    if (&Each == &Ready)
+      Late.Relay->onVersions(Now, Name, {4, 0});
+  EXPECT_EQ(Late.Rows["config"], "x");
+}
+
+} // namespace
+} // namespace mimosacart
--- /dev/null
+++ b/tests/platform/documents_test.cpp
@@ -0,0 +1,139 @@
+#include "platform/documents.h"
+
+#include <gtest/gtest.h>
+#include <nlohmann/json.hpp>
+
+namespace mimosacart {
+namespace {
+
+using namespace std::chrono_literals;
+using Json = nlohmann::json;
+
+Json makeConfiguration() {
+  return Json::parse(R"({
+    "version": 7,
+    "routes": {
+      "columns": ["name", "host", "prefix", "routeKind", "timeout", "slo",
+                  "priority", "service", "maxAttempts", "trafficSplit"],
+      "rows": [
+        ["r1", "a.example", "/one/", "unsafe", "1.2s", "500ms", 1, "s1", 2,
+         null],
+        ["r2", "b.example", "/two/", "safe", "1000ms", "400ms", 2, null, 3,
+         [{"service": "s1", "weight": 90}, {"service": "s2", "weight": 10}]]
+      ]},
+    "services": {
+      "columns": ["name", "healthPath", "maxConns", "protocol", "tls"],
+      "rows": [["s1", "/health", 220, "h1", false]]},
+    "limits": {"maxHeaderBytes": 16384, "maxBodyBytes": 1000,
+               "headerTimeout": "3000ms", "idleTimeout": "15s"},
+    "baseVersion": 5, "somethingNew": true})");
+}
+
+Json makeServer() {
+  return Json::parse(R"({
+    "address": "10.128.0.9:8080", "born": 1783312445813,
+    "info": {"service": "s1", "version": "v1", "zone": "z", "concurrency": 2},
+    "status": {"state": "ready", "sequence": 4, "warmupLeft": "1500ms"}})");
+}
+
+RouteConfigurationPtr configurationOf(const Json &Value) {
+  const auto Read = readConfiguration({"config", 1, false, Value.dump()});
+  const auto *Configuration = std::get_if<RouteConfigurationPtr>(&Read);
+  return Configuration ? *Configuration : nullptr;
+}
+
+bool isUsable(const std::string &Bytes) {
+  return std::holds_alternative<DiscoveredServer>(
+      readServer({"i-1", 1, false, Bytes}));
+}
+
+TEST(DocumentsTest, readConfiguration_wholeDocument_keepsEveryField) {
+  const RouteConfigurationPtr Read = configurationOf(makeConfiguration());
+  ASSERT_NE(Read, nullptr);
+  EXPECT_EQ(Read->Version, 7U);
+  ASSERT_EQ(Read->Routes.size(), 2U);
+  const HostRoute &Once = Read->Routes[0];
+  EXPECT_FALSE(Once.Idempotent);
+  EXPECT_EQ(Once.Timeout, 1200ms);
+  EXPECT_EQ(Once.Objective, 500ms);
+  EXPECT_EQ(Once.Priority, 1U);
+  EXPECT_EQ(Once.MaxAttempts, 2U);
+  const HostRoute &Split = Read->Routes[1];
+  EXPECT_TRUE(Split.Idempotent);
+  EXPECT_EQ(Split.Services,
+            (std::vector<WeightedService>{{ServiceName("s1"), 90},
+                                          {ServiceName("s2"), 10}}));
+  EXPECT_EQ(Read->Services.at(ServiceName("s1")).Connections, 220U);
+  EXPECT_EQ(Read->Bounds.IdleTimeout, 15s);
+  EXPECT_EQ(Read->Bounds.BodyBytes, 1000U);
+}
+
+TEST(DocumentsTest, readConfiguration_anotherRow_isNoConfiguration) {
+  const auto Read = readConfiguration({"other", 1, false, "{}"});
+  EXPECT_EQ(std::get<RouteConfigurationPtr>(Read), nullptr);
+}
+
+TEST(DocumentsTest, readConfiguration_unreadable_saysWhy) {
+  Json NoVersion = makeConfiguration();
+  NoVersion.erase("version");
+  Json BadTime = makeConfiguration();
+  BadTime["routes"]["rows"][0][4] = "soon";
+  Json EmptySplit = makeConfiguration();
+  EmptySplit["routes"]["rows"][1][9] = Json::array();
+  for (const std::string &Bytes :
+       {NoVersion.dump(), BadTime.dump(), EmptySplit.dump(), std::string("{"),
+        std::string("\xff\xfe")}) {
+    const auto Read = readConfiguration({"config", 1, false, Bytes});
+    ASSERT_TRUE(std::holds_alternative<UnusableRow>(Read)) << Bytes;
+    EXPECT_FALSE(std::get<UnusableRow>(Read).Why.empty());
+  }
+}
+
+TEST(DocumentsTest, readServer_wholeEntry_keepsEveryField) {
+  const auto Read = readServer({"i-1", 1, false, makeServer().dump()});
+  const auto &Server = std::get<DiscoveredServer>(Read);
+  EXPECT_EQ(Server.Id, ServerName("i-1"));
+  EXPECT_EQ(Server.Service, ServiceName("s1"));
+  EXPECT_EQ(Server.Address, "10.128.0.9:8080");
+  EXPECT_EQ(Server.Slots, 2U);
+  EXPECT_EQ(Server.WarmUpLeft, 1500ms);
+  EXPECT_EQ(Server.Born, 1783312445813U);
+  EXPECT_FALSE(Server.Draining);
+}
+
+TEST(DocumentsTest, readServer_draining_isToldSo) {
+  Json Entry = makeServer();
+  Entry["status"]["state"] = "draining";
+  const auto Read = readServer({"i-1", 1, false, Entry.dump()});
+  EXPECT_TRUE(std::get<DiscoveredServer>(Read).Draining);
+}
+
+TEST(DocumentsTest, readServer_missingOrMistypedField_namesNoServer) {
+  const std::vector<std::pair<std::string, Json>> Damages = {
+      {"/address", 7},           {"/info/service", Json()},
+      {"/info/zone", 1},         {"/info/concurrency", "two"},
+      {"/status/state", "idle"}, {"/status/sequence", "x"},
+      {"/born", "today"},        {"/born", 1.5},
+      {"/info", Json::array()},  {"/status/warmupLeft", 3}};
+  for (const auto &[Path, Value] : Damages) {
+    Json Entry = makeServer();
+    Entry[Json::json_pointer(Path)] = Value;
+    EXPECT_FALSE(isUsable(Entry.dump())) << Path << " " << Value;
+  }
+  for (const char *Path : {"address", "info", "status"}) {
+    Json Entry = makeServer();
+    Entry.erase(Path);
+    EXPECT_FALSE(isUsable(Entry.dump())) << Path;
+  }
+  EXPECT_FALSE(isUsable("not json"));
+  EXPECT_FALSE(isUsable("[]"));
+}
+
+TEST(DocumentsTest, hostRow_writtenAndRead_isTheSame) {
+  EXPECT_EQ(readHost({"h", 1, false, writeHost("10.0.0.1:7")}), "10.0.0.1:7");
+  EXPECT_EQ(readHost({"h", 1, false, "{\"peers\":3}"}), std::nullopt);
+  EXPECT_EQ(readHost({"h", 1, false, "x"}), std::nullopt);
+}
+
+} // namespace
+} // namespace mimosacart
--- /dev/null
+++ b/tests/platform/exchanges_test.cpp
@@ -0,0 +1,169 @@
+#include "platform/exchanges.h"
+
+#include <gtest/gtest.h>
+
+namespace mimosacart {
+namespace {
+
+using namespace std::chrono_literals;
+
+const std::string *headerOf(const std::vector<HeaderField> &Headers,
+                            const char *Name) {
+  return findField(Headers, Name);
+}
+
+HttpRequest makeRequest() {
+  return {"POST",
+          "/a/b?c=d",
+          {{"Host", "x.example"},
+           {"X-Request-Id", "id-1"},
+           {"X-Deadline-Ms", "2500"},
+           {"X-Expect-Instance", "forged"},
+           {"Connection", "keep-alive"},
+           {"Accept", "text/plain"}},
+          "body",
+          "10.0.0.7"};
+}
+
+DirectCall makeCall() {
+  DirectCall Call;
+  Call.Server.Id = ServerName("i-9");
+  Call.Server.Address = "10.1.1.1:80";
+  Call.Request = readCallerRequest(makeRequest());
+  Call.Remaining = 1234ms;
+  Call.Timeout = 1500ms;
+  return Call;
+}
+
+TEST(ExchangesTest, readCallerRequest_ourHeaders_becomeFields) {
+  const RequestPtr Read = readCallerRequest(makeRequest());
+  EXPECT_EQ(Read->TraceId, "id-1");
+  EXPECT_EQ(Read->Timeout, 2500ms);
+  EXPECT_EQ(Read->Caller, "10.0.0.7");
+  EXPECT_EQ(headerOf(Read->Headers, "X-Expect-Instance"), nullptr);
+  EXPECT_EQ(headerOf(Read->Headers, "Connection"), nullptr);
+  EXPECT_EQ(*headerOf(Read->Headers, "Accept"), "text/plain");
+}
+
+TEST(ExchangesTest, readCallerRequest_unreadableDeadline_isLeftOut) {
+  HttpRequest Request = makeRequest();
+  Request.Headers[2].Value = "soon";
+  EXPECT_EQ(readCallerRequest(Request)->Timeout, std::nullopt);
+}
+
+TEST(ExchangesTest, writeServerCall_request_isUnchangedButForOurHeaders) {
+  const HttpCall Call = writeServerCall(makeCall());
+  EXPECT_EQ(Call.Request.Method, "POST");
+  EXPECT_EQ(Call.Request.Target, "/a/b?c=d");
+  EXPECT_EQ(Call.Request.Body, "body");
+  EXPECT_EQ(*headerOf(Call.Request.Headers, "Host"), "x.example");
+  EXPECT_EQ(*headerOf(Call.Request.Headers, "X-Request-Id"), "id-1");
+  EXPECT_EQ(*headerOf(Call.Request.Headers, "X-Deadline-Ms"), "1234");
+  EXPECT_EQ(*headerOf(Call.Request.Headers, "X-Expect-Instance"), "i-9");
+}
+
+TEST(ExchangesTest, writeServerCall_answerOfAnotherRequest_isNotAccepted) {
+  const HttpCall Call = writeServerCall(makeCall());
+  EXPECT_TRUE(Call.Accept({200, {{"X-Request-Id", "id-1"}}, ""}));
+  EXPECT_FALSE(Call.Accept({200, {{"X-Request-Id", "id-0"}}, ""}));
+  EXPECT_FALSE(Call.Accept({200, {}, ""}));
+  EXPECT_TRUE(Call.Accept({503, {{"X-Not-Executed", "1"}}, ""}));
+}
+
+TEST(ExchangesTest, readServerAnswer_load_isReadWithOrWithoutSlowness) {
+  const auto LoadOf = [](const std::string &Text) {
+    return readServerAnswer(HttpResponse{200, {{"X-Server-Load", Text}}, ""})
+        .Answer.Load;
+  };
+  EXPECT_EQ(LoadOf("3,1,8,700"), (LoadFigures{3, 1, 8, 700}));
+  EXPECT_EQ(LoadOf("3, 0, 8"), (LoadFigures{3, 0, 8, 100}));
+  for (const char *Text : {"", "3", "3,1", "a,b,c", "3,-1,8", "3,,8"})
+    EXPECT_EQ(LoadOf(Text), std::nullopt) << Text;
+}
+
+TEST(ExchangesTest, readServerAnswer_proofs_areTold) {
+  EXPECT_TRUE(readServerAnswer(HttpResponse{503, {{"X-Not-Executed", "1"}}, ""})
+                  .Answer.NotRun);
+  EXPECT_FALSE(readServerAnswer(HttpResponse{503, {}, ""}).Answer.NotRun);
+  EXPECT_TRUE(readServerAnswer(HttpResponse{421, {}, ""}).Answer.WrongServer);
+}
+
+TEST(ExchangesTest, readServerAnswer_encodedBody_isNotTheServersOwn) {
+  const HttpResponse Signed{200, {{"X-Response-Stamp", "s"}}, ""};
+  HttpResponse Encoded = Signed;
+  Encoded.Headers.push_back({"Content-Encoding", "gzip"});
+  EXPECT_TRUE(readServerAnswer(Signed).Answer.Signed);
+  EXPECT_FALSE(readServerAnswer(Encoded).Answer.Signed);
+  EXPECT_FALSE(readServerAnswer(HttpResponse{200, {}, ""}).Answer.Signed);
+}
+
+TEST(ExchangesTest, readServerAnswer_failures_tellWhetherItWasSent) {
+  const auto EndOf = [](NetError Error) {
+    return readServerAnswer(make_error_code(Error)).End;
+  };
+  EXPECT_EQ(EndOf(NetError::ConnectFailed), CallEnd::NotSent);
+  EXPECT_EQ(EndOf(NetError::TimedOut), CallEnd::TimedOut);
+  EXPECT_EQ(EndOf(NetError::Broken), CallEnd::Broken);
+  EXPECT_EQ(EndOf(NetError::Malformed), CallEnd::Broken);
+}
+
+TEST(ExchangesTest, writeCallerAnswer_refusal_promisesOnlyWhatHolds) {
+  const auto StatusOf = [](Outcome What, Reason Why) {
+    FlowResult Result;
+    Result.Refused = {What, Why, 250ms};
+    return writeCallerAnswer(Result).Status;
+  };
+  EXPECT_EQ(StatusOf(Outcome::NotRun, Reason::Overloaded), 503U);
+  EXPECT_EQ(StatusOf(Outcome::NotRun, Reason::NoConfiguration), 503U);
+  EXPECT_EQ(StatusOf(Outcome::NotRun, Reason::ServerTimeout), 503U);
+  EXPECT_EQ(StatusOf(Outcome::Unknown, Reason::ServerTimeout), 504U);
+  EXPECT_EQ(StatusOf(Outcome::Unknown, Reason::ServerBroke), 502U);
+  EXPECT_EQ(StatusOf(Outcome::Unknown, Reason::Overloaded), 502U);
+  EXPECT_EQ(StatusOf(Outcome::NotRun, Reason::NoRoute), 404U);
+}
+
+TEST(ExchangesTest, writeCallerAnswer_notRun_saysWhenToComeBack) {
+  FlowResult Result;
+  Result.Refused = {Outcome::NotRun, Reason::Overloaded, 250ms};
+  const HttpResponse Response = writeCallerAnswer(Result);
+  EXPECT_EQ(*headerOf(Response.Headers, "Retry-After"), "0.250");
+}
+
+TEST(ExchangesTest, writeCallerAnswer_serversAnswer_keepsSignatureOnly) {
+  FlowResult Result;
+  Result.Reply =
+      std::make_shared<const Answer>(Answer{500,
+                                            {{"X-Response-Stamp", "s"},
+                                             {"X-Server-Load", "1,0,2"},
+                                             {"X-Instance-Id", "i"},
+                                             {"Keep-Alive", "timeout=10"},
+                                             {"Content-Type", "text/plain"}},
+                                            "b"});
+  const HttpResponse Response = writeCallerAnswer(Result);
+  EXPECT_EQ(Response.Status, 500U);
+  EXPECT_EQ(Response.Body, "b");
+  EXPECT_EQ(Response.Headers,
+            (std::vector<HeaderField>{{"X-Response-Stamp", "s"},
+                                      {"Content-Type", "text/plain"}}));
+}
+
+TEST(ExchangesTest, writeDirectory_hosts_areListedWithTheirLifetime) {
+  const HttpResponse Response = writeDirectory({"10.0.0.1:80"}, 1500ms);
+  EXPECT_EQ(Response.Body, R"({"addrs":["10.0.0.1:80"],"ttl":"1500ms"})");
+  EXPECT_EQ(writeDirectory({}, 1s).Status, 503U);
+  const std::vector<std::string> Many(100, "10.0.0.1:80");
+  EXPECT_LT(writeDirectory(Many, 1s).Body.size(), 64 * 15 + 40U);
+}
+
+TEST(ExchangesTest, readProbe_answers_tellHealthAndWhoItWas) {
+  const ProbeResult Well = readProbe(HttpResponse{
+      200, {{"X-Instance-Id", "i-1"}, {"X-Server-Load", "0,0,2,100"}}, ""});
+  EXPECT_TRUE(Well.Answered);
+  EXPECT_TRUE(Well.Healthy);
+  EXPECT_EQ(Well.Server, ServerName("i-1"));
+  EXPECT_FALSE(readProbe(HttpResponse{503, {}, ""}).Healthy);
+  EXPECT_FALSE(readProbe(make_error_code(NetError::Broken)).Answered);
+}
+
+} // namespace
+} // namespace mimosacart
--- a/tests/wire/peer_codec_test.cpp
+++ b/tests/wire/peer_codec_test.cpp
@@ -78,7 +78,7 @@
       CrashReportAck{12},
       AttemptAnswerAck{Incarnation(1), AttemptId(2)},
       TableRequest{StoreTable::Servers, 7},
-      TableRows{StoreTable::Servers, 9, true, {{"k", 8, true, "v"}}},
+      TableRows{StoreTable::Servers, 5, 9, true, 3ms, {{"k", 8, true, "v"}}},
   };
 }
 
--- a/wire/table_codec.cpp
+++ b/wire/table_codec.cpp
@@ -22,6 +22,9 @@
   To.set_table(static_cast<std::uint32_t>(From.Table));
   To.set_up_to(From.UpTo);
   To.set_whole(From.Whole);
+  To.set_after(From.After);
+  if (From.ConfirmedAgo)
+    To.set_confirmed_ago_us(From.ConfirmedAgo->count());
   for (const TableRow &Row : From.Rows) {
     wire::TableRow &Written = *To.add_rows();
     Written.set_key(Row.Key);
@@ -42,7 +45,13 @@
   const auto Table = readTable(From.table());
   if (!Table)
     return std::nullopt;
-  TableRows To{*Table, From.up_to(), From.whole(), {}};
+  TableRows To;
+  To.Table = *Table;
+  To.After = From.after();
+  To.UpTo = From.up_to();
+  To.Whole = From.whole();
+  if (From.has_confirmed_ago_us())
+    To.ConfirmedAgo = Duration(From.confirmed_ago_us());
   for (const wire::TableRow &Row : From.rows())
     To.Rows.push_back({Row.key(), Row.version(), Row.removed(), Row.value()});
   return To;
