--- a/tests/net/http_client_test.cpp
+++ b/tests/net/http_client_test.cpp
@@ -63,11 +63,15 @@
   }
 
   std::optional<HttpResult> call(Duration Timeout = 500ms) {
-    std::optional<HttpResult> Result;
     HttpCall Call;
-    Call.Address = Address;
     Call.Request = {"GET", "/", {}, "", ""};
     Call.Timeout = Timeout;
+    return call(std::move(Call));
+  }
+
+  std::optional<HttpResult> call(HttpCall Call) {
+    std::optional<HttpResult> Result;
+    Call.Address = Address;
     Http.call(std::move(Call), [&Result](HttpResult Value) {
       Result.emplace(std::move(Value));
     });
@@ -161,5 +165,61 @@
   EXPECT_EQ(Accepted, 1U);
 }
 
+TEST_F(HttpClientTest, answer_endedByCloseWhereAllowed_isWhole) {
+  serve({"HTTP/1.1 200 OK\r\n\r\nwhole"}, true);
+  HttpCall Call;
+  Call.Request = {"GET", "/", {}, "", ""};
+  Call.Timeout = 500ms;
+  Call.MayEndWithConnection = true;
+  const auto Result = call(Call);
+  ASSERT_TRUE(Result && Result->has_value());
+  EXPECT_EQ(Result->value().Body, "whole");
+}
+
+TEST_F(HttpClientTest, answer_endedByResetWhereAllowed_isBroken) {
+  serve({"HTTP/1.1 200 OK\r\n\r\npart"}, false);
+  HttpCall Call;
+  Call.Request = {"GET", "/", {}, "", ""};
+  Call.Timeout = 500ms;
+  Call.MayEndWithConnection = true;
+  asio::steady_timer Reset(Context, 100ms);
+  Reset.async_wait([this](boost::system::error_code) {
+    boost::system::error_code Ignored;
+    Held.front()->set_option(asio::socket_base::linger(true, 0), Ignored);
+    Held.front()->close(Ignored);
+  });
+  EXPECT_EQ(errorOf(call(Call)), NetError::Broken);
+}
+
+TEST_F(HttpClientTest, answer_leftOverFromAnother_isDroppedForTheOwn) {
+  serve({"HTTP/1.1 200 OK\r\nId: old\r\nContent-Length: 5\r\n\r\nstale"
+         "HTTP/1.1 200 OK\r\nId: own\r\nContent-Length: 3\r\n\r\nnew"},
+        false);
+  HttpCall Call;
+  Call.Request = {"GET", "/", {}, "", ""};
+  Call.Timeout = 500ms;
+  Call.Accept = [](const HttpResponse &Response) {
+    return *findField(Response.Headers, "Id") == "own";
+  };
+  const auto Result = call(Call);
+  ASSERT_TRUE(Result && Result->has_value());
+  EXPECT_EQ(Result->value().Body, "new");
+}
+
+TEST_F(HttpClientTest, answer_beforeTheBodyIsWritten_isReturnedAndNotReused) {
+  serve({"HTTP/1.1 413 Too Large\r\nContent-Length: 2\r\n\r\nno"}, false);
+  HttpCall Call;
+  // More than the socket's buffers take while the server does not read.
+  Call.Request = {"POST", "/", {}, std::string(32U << 20U, 'x'), ""};
+  Call.Timeout = 2s;
+  const auto Result = call(Call);
+  ASSERT_TRUE(Result && Result->has_value());
+  EXPECT_EQ(Result->value().Status, 413U);
+  serve({"HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nnew"}, false);
+  const auto Next = call();
+  ASSERT_TRUE(Next && Next->has_value());
+  EXPECT_EQ(Accepted, 2U);
+}
+
 } // namespace
 } // namespace mimosacart
--- a/tests/net/http_server_test.cpp
+++ b/tests/net/http_server_test.cpp
@@ -177,5 +177,35 @@
   EXPECT_EQ(exchange("GET / HTTP/1.1\r\nHost: x\r\n\r\n"), "");
 }
 
+TEST_F(HttpServerTest, drain_keptConnection_isServedThenClosed) {
+  tcp::socket Socket = connect();
+  asio::write(Socket, asio::buffer(std::string("GET / HTTP/1.1\r\nHost: x")));
+  std::this_thread::sleep_for(50ms);
+  asio::post(Context, [this] { Server->drain(); });
+  std::this_thread::sleep_for(50ms);
+  asio::write(Socket, asio::buffer(std::string("\r\n\r\n")));
+  const std::string Reply = readAll(Socket);
+  EXPECT_EQ(Reply.substr(0, 12), "HTTP/1.1 200");
+  EXPECT_NE(Reply.find("Connection: close"), std::string::npos);
+  // New connections are still served, for callers that know no better.
+  expectStatus("GET / HTTP/1.1\r\nHost: x\r\n\r\n", 200);
+}
+
+TEST_F(HttpServerTest, drain_idleConnection_isClosed) {
+  tcp::socket Socket = connect();
+  std::this_thread::sleep_for(50ms);
+  asio::post(Context, [this] { Server->drain(); });
+  EXPECT_EQ(readAll(Socket), "");
+}
+
+TEST_F(HttpServerTest, setLimits_laterRequests_areHeldToThem) {
+  HttpServerLimits Limits;
+  Limits.BodyBytes = 2;
+  asio::post(Context, [this, Limits] { Server->setLimits(Limits); });
+  std::this_thread::sleep_for(50ms);
+  expectStatus("POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 3\r\n\r\nabc",
+               413);
+}
+
 } // namespace
 } // namespace mimosacart
--- /dev/null
+++ b/tests/standins/store_standin.cpp
@@ -0,0 +1,187 @@
+#include "tests/standins/store_standin.h"
+
+#include <nlohmann/json.hpp>
+#include <openssl/evp.h>
+
+namespace mimosacart {
+
+namespace {
+
+using Json = nlohmann::json;
+
+std::string toBase64(const std::string &Bytes) {
+  std::string Text((Bytes.size() + 2) / 3 * 4 + 1, '\0');
+  const int Length =
+      EVP_EncodeBlock(reinterpret_cast<unsigned char *>(Text.data()),
+                      reinterpret_cast<const unsigned char *>(Bytes.data()),
+                      static_cast<int>(Bytes.size()));
+  Text.resize(static_cast<std::size_t>(Length));
+  return Text;
+}
+
+std::string fromBase64(const std::string &Text) {
+  std::string Bytes(Text.size(), '\0');
+  const int Length =
+      EVP_DecodeBlock(reinterpret_cast<unsigned char *>(Bytes.data()),
+                      reinterpret_cast<const unsigned char *>(Text.data()),
+                      static_cast<int>(Text.size()));
+  const auto Padding = std::count(Text.begin(), Text.end(), '=');
+  Bytes.resize(static_cast<std::size_t>(Length - Padding));
+  return Bytes;
+}
+
+std::map<std::string, std::string> readQuery(const std::string &Target) {
+  std::map<std::string, std::string> Result;
+  std::size_t At = Target.find('?');
+  while (At != std::string::npos) {
+    const std::size_t End = Target.find('&', At + 1);
+    const std::string Pair = Target.substr(At + 1, End - At - 1);
+    const std::size_t Equals = Pair.find('=');
+    Result[Pair.substr(0, Equals)] =
+        Equals == std::string::npos ? "" : Pair.substr(Equals + 1);
+    At = End;
+  }
+  return Result;
+}
+
+} // namespace
+
+StoreStandin::StoreStandin(asio::io_context &Io)
+    : Context(Io), Server(
+                       Io, {},
+                       [this](const HttpRequest &Request,
+                              const std::shared_ptr<HttpExchange> &Exchange) {
+                         onRequest(Request, Exchange);
+                       },
+                       [](NetError) {
+                         return HttpResponse{400, {}, ""};
+                       }) {}
+
+bool StoreStandin::listen(const std::string &Address) {
+  return Server.listen(Address).has_value();
+}
+
+std::uint64_t StoreStandin::put(const std::string &Table,
+                                const std::string &Key,
+                                const std::string &Value) {
+  return write(Table, Key, {Value, 0, false});
+}
+
+std::uint64_t StoreStandin::remove(const std::string &Table,
+                                   const std::string &Key) {
+  return write(Table, Key, {"", 0, true});
+}
+
+std::uint64_t StoreStandin::write(const std::string &Table,
+                                  const std::string &Key, Row Next) {
+  Next.Version = ++Version;
+  Tables[Table][Key] = std::move(Next);
+  wakeFeeds();
+  return Version;
+}
+
+void StoreStandin::forgetHistory() { HistoryFrom = Version + 1; }
+
+std::string StoreStandin::listRows(const std::string &Table,
+                                   std::uint64_t After,
+                                   bool WithRemoved) const {
+  Json Listed = Json::array();
+  const auto Found = Tables.find(Table);
+  if (Found != Tables.end())
+    for (const auto &[Key, Each] : Found->second) {
+      if (Each.Version <= After || (Each.Removed && !WithRemoved))
+        continue;
+      Json Row = {
+          {"table", Table}, {"part", ""}, {"key", Key}, {"ver", Each.Version}};
+      if (Each.Removed)
+        Row["tombstone"] = true;
+      else
+        Row["value"] = toBase64(Each.Value);
+      Listed.push_back(std::move(Row));
+    }
+  return Json({{"rows", Listed}, {"ver", Version}, {"hasMore", false}}).dump();
+}
+
+void StoreStandin::onRequest(const HttpRequest &Request,
+                             const std::shared_ptr<HttpExchange> &Exchange) {
+  ++Calls;
+  if (Mood == StoreMood::Silent) {
+    Silenced.push_back(Exchange);
+    return;
+  }
+  if (Mood == StoreMood::Refusing) {
+    Exchange->respond({503, {}, ""});
+    return;
+  }
+  const auto Query = readQuery(Request.Target);
+  const std::string Path = Request.Target.substr(0, Request.Target.find('?'));
+  if (Path == "/v1/rows-get")
+    Exchange->respond({200, {}, listRows(Query.at("table"), 0, false)});
+  else if (Path == "/v1/rows-feed")
+    onFeed(Query, Exchange);
+  else if (Path == "/v1/rows-tx")
+    onTransaction(Request.Body, Exchange);
+  else
+    Exchange->respond({404, {}, ""});
+}
+
+void StoreStandin::onFeed(const std::map<std::string, std::string> &Query,
+                          const std::shared_ptr<HttpExchange> &Exchange) {
+  Feed Next;
+  Next.Table = Query.at("table");
+  Next.After = std::stoull(Query.at("after"));
+  Next.Exchange = Exchange;
+  if (Next.After + 1 < HistoryFrom) {
+    Exchange->respond({410, {}, ""});
+    return;
+  }
+  Next.Limit = std::make_shared<asio::steady_timer>(
+      Context, std::chrono::milliseconds(std::stol(Query.at("waitMs"))));
+  Next.Limit->async_wait([this, Exchange](boost::system::error_code Error) {
+    if (Error)
+      return;
+    const auto Found =
+        std::find_if(Feeds.begin(), Feeds.end(), [&](const Feed &Each) {
+          return Each.Exchange == Exchange;
+        });
+    if (Found == Feeds.end())
+      return;
+    Exchange->respond({200, {}, listRows(Found->Table, Found->After, true)});
+    Feeds.erase(Found);
+  });
+  Feeds.push_back(std::move(Next));
+  wakeFeeds();
+}
+
+void StoreStandin::wakeFeeds() {
+  if (Mood == StoreMood::Silent)
+    return;
+  std::erase_if(Feeds, [this](const Feed &Each) {
+    const auto &Rows = Tables[Each.Table];
+    const bool News =
+        std::any_of(Rows.begin(), Rows.end(), [&Each](const auto &Entry) {
+          return Entry.second.Version > Each.After;
+        });
+    if (!News)
+      return false;
+    Each.Limit->cancel();
+    Each.Exchange->respond({200, {}, listRows(Each.Table, Each.After, true)});
+    return true;
+  });
+}
+
+void StoreStandin::onTransaction(
+    const std::string &Body, const std::shared_ptr<HttpExchange> &Exchange) {
+  const Json Wanted = Json::parse(Body);
+  for (const Json &Row : Wanted.at("writes"))
+    put(Row.at("table"), Row.at("key"), fromBase64(Row.at("value")));
+  for (const Json &Row : Wanted.at("remove"))
+    remove(Row.at("table"), Row.at("key"));
+  if (Mood == StoreMood::LosesAnswers) {
+    Silenced.push_back(Exchange);
+    return;
+  }
+  Exchange->respond({200, {}, Json({{"ver", Version}}).dump()});
+}
+
+} // namespace mimosacart
--- /dev/null
+++ b/tests/standins/store_standin.h
@@ -0,0 +1,74 @@
+/// \file
+/// The platform's store within a test's process: tables, feeds, transactions,
+/// and the ways in which it fails.
+#pragma once
+
+#include "net/asio.h"
+#include "net/http_server.h"
+
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace mimosacart {
+
+/// How the store treats its callers.
+enum class StoreMood : std::uint8_t { Sound, Refusing, Silent, LosesAnswers };
+
+/// Answers on one address; all in the thread of its context.
+class StoreStandin {
+public:
+  explicit StoreStandin(asio::io_context &Context);
+
+  /// Binds to \p Address; false if that is taken.
+  bool listen(const std::string &Address);
+  /// Writes a row as an operator or a server would; returns its version.
+  std::uint64_t put(const std::string &Table, const std::string &Key,
+                    const std::string &Value);
+  std::uint64_t remove(const std::string &Table, const std::string &Key);
+  /// Answers to feeds of earlier versions that their history is gone.
+  void forgetHistory();
+  void setMood(StoreMood Next) { Mood = Next; }
+
+  std::size_t calls() const { return Calls; }
+  std::size_t rows(const std::string &Table) { return Tables[Table].size(); }
+
+private:
+  struct Row {
+    std::string Value;
+    std::uint64_t Version = 0;
+    bool Removed = false;
+  };
+  struct Feed {
+    std::string Table;
+    std::uint64_t After = 0;
+    std::shared_ptr<HttpExchange> Exchange;
+    std::shared_ptr<asio::steady_timer> Limit;
+  };
+
+  void onRequest(const HttpRequest &Request,
+                 const std::shared_ptr<HttpExchange> &Exchange);
+  void onFeed(const std::map<std::string, std::string> &Query,
+              const std::shared_ptr<HttpExchange> &Exchange);
+  void onTransaction(const std::string &Body,
+                     const std::shared_ptr<HttpExchange> &Exchange);
+  std::uint64_t write(const std::string &Table, const std::string &Key,
+                      Row Next);
+  std::string listRows(const std::string &Table, std::uint64_t After,
+                       bool WithRemoved) const;
+  void wakeFeeds();
+
+  asio::io_context &Context;
+  std::map<std::string, std::map<std::string, Row>> Tables;
+  std::vector<Feed> Feeds;
+  std::uint64_t Version = 0;
+  std::uint64_t HistoryFrom = 0;
+  StoreMood Mood = StoreMood::Sound;
+  std::size_t Calls = 0;
+  /// Exchanges that are never answered.
+  std::vector<std::shared_ptr<HttpExchange>> Silenced;
+  HttpServer Server;
+};
+
+} // namespace mimosacart
