--- a/core/membership.cpp
+++ b/core/membership.cpp
@@ -41,7 +41,7 @@
   if (Now < NextPeriod)
     return;
   // A host that was frozen does not make up for the periods it missed.
-  NextPeriod = Now + Times.Period;
+  NextPeriod = Now + (Members.empty() ? Times.PeriodAlone : Times.Period);
   ++PeriodCount;
   pingNext(Now);
   if (PeriodCount % SeedPingPeriods == 1 || Members.empty())
--- a/core/membership.h
+++ b/core/membership.h
@@ -21,6 +21,8 @@
 struct MembershipTimes {
   /// One member is pinged in each period.
   Duration Period = std::chrono::milliseconds(200);
+  /// The same while no other host is known.
+  Duration PeriodAlone = std::chrono::milliseconds(200);
   /// A ping without an answer for this long is also tried through others.
   Duration AckTimeout = std::chrono::milliseconds(150);
   /// A ping without any answer for this long makes its target suspect.
--- a/daemon/direct_host_process.cpp
+++ b/daemon/direct_host_process.cpp
@@ -43,9 +43,13 @@
 /// Periods that keep the traffic between data centres low; a host that is
 /// gone is noticed within about two seconds.
 constexpr MembershipTimes FleetTimes = {
-    std::chrono::milliseconds(800), std::chrono::milliseconds(300),
-    std::chrono::milliseconds(700), std::chrono::milliseconds(800),
-    std::chrono::minutes(2)};
+    .Period = std::chrono::milliseconds(800),
+    .PeriodAlone = std::chrono::milliseconds(100),
+    .AckTimeout = std::chrono::milliseconds(300),
+    .SuspectAfter = std::chrono::milliseconds(700),
+    .DeadAfter = std::chrono::milliseconds(800),
+    .ForgetAfter = std::chrono::minutes(2),
+};
 
 std::uint64_t drawLife() {
   std::random_device Device;
--- a/direct/table_relay.h
+++ b/direct/table_relay.h
@@ -28,7 +28,7 @@
   /// Such a host goes on reading for this long.
   Duration ReadAtLeast = std::chrono::seconds(2);
   /// Time from the start in which peers are found.
-  Duration FindPeers = std::chrono::milliseconds(700);
+  Duration FindPeers = std::chrono::milliseconds(1200);
 };
 
 /// How closely a host is to follow the store.
