--- a/direct/request_flow.cpp
+++ b/direct/request_flow.cpp
@@ -438,11 +438,13 @@
   choose(Now, Of);
 }
 
-Refusal RequestFlow::refusalOf(const Flow &Of, Reason Why,
-                               Duration RetryAfter) {
+Refusal RequestFlow::refusalOf(const Flow &Of, Reason Why) const {
   const bool Ran = Of.MayHaveRun || !Of.OpenCalls.empty();
-  return {Ran ? Outcome::Unknown : Outcome::NotRun, Why,
-          Ran ? Duration::zero() : RetryAfter};
+  if (Ran)
+    return {Outcome::Unknown, Why, Duration::zero()};
+  return {Outcome::NotRun, Why,
+          Why == Reason::ServerRefused ? Policy.RetryAfterRefused
+                                       : Policy.RetryAfterBusy};
 }
 
 void RequestFlow::endWithoutAnswer(Instant Now, Flow &Of, Reason Otherwise) {
@@ -450,7 +452,7 @@
     end(Now, Of, Of.ServerFailure, Of.FailedServer, {});
     return;
   }
-  end(Now, Of, nullptr, {}, refusalOf(Of, Otherwise, Policy.RetryAfter));
+  end(Now, Of, nullptr, {}, refusalOf(Of, Otherwise));
 }
 
 void RequestFlow::end(Instant Now, Flow &Of, AnswerPtr Reply,
--- a/direct/request_flow.h
+++ b/direct/request_flow.h
@@ -36,8 +36,10 @@
   /// this part of it.
   double HoldShare = 0.35;
   Duration HoldInterval = std::chrono::milliseconds(25);
-  /// Callers are told to come back after this.
-  Duration RetryAfter = std::chrono::milliseconds(250);
+  /// Callers are told to come back after this while servers are busy, and
+  /// after a server refused for reasons of its own.
+  Duration RetryAfterBusy = std::chrono::milliseconds(80);
+  Duration RetryAfterRefused = std::chrono::milliseconds(25);
   /// An idempotent request is doubled once it took this many usual times, or
   /// earlier if the objective would be missed otherwise.
   double HedgeFactor = 1.7;
@@ -161,7 +163,7 @@
   void setWake(Flow &Of);
   Duration usualOf(const Flow &Of) const;
   RetryAllowance &allowanceOf(const ServiceName &Service);
-  static Refusal refusalOf(const Flow &Of, Reason Why, Duration RetryAfter);
+  Refusal refusalOf(const Flow &Of, Reason Why) const;
   void log(const char *Event, const Flow &Of, FlowFields Fields) const;
 
   const FlowPolicy Policy;
