--- a/net/http_client.cpp
+++ b/net/http_client.cpp
@@ -218,8 +218,10 @@
     return;
   }
   auto Message = Parser->release();
+  // Beast's need_eof() is also true for the last answer of a connection.
+  const bool HasLength = Message.has_content_length() || Message.chunked();
   const bool EndsWithConnection =
-      Message.need_eof() && Call.Request.Method != "HEAD";
+      Message.need_eof() && !HasLength && Call.Request.Method != "HEAD";
   if (EndsWithConnection && !Call.MayEndWithConnection) {
     finish(make_error_code(NetError::Malformed));
     return;
--- a/tests/net/http_client_test.cpp
+++ b/tests/net/http_client_test.cpp
@@ -191,6 +191,14 @@
   EXPECT_EQ(errorOf(call(Call)), NetError::Broken);
 }
 
+TEST_F(HttpClientTest, answer_wholeButLastOfItsConnection_isReturned) {
+  serve({"HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 2\r\n\r\nok"},
+        true);
+  const auto Result = call();
+  ASSERT_TRUE(Result && Result->has_value());
+  EXPECT_EQ(Result->value().Body, "ok");
+}
+
 TEST_F(HttpClientTest, answer_leftOverFromAnother_isDroppedForTheOwn) {
   serve({"HTTP/1.1 200 OK\r\nId: old\r\nContent-Length: 5\r\n\r\nstale"
          "HTTP/1.1 200 OK\r\nId: own\r\nContent-Length: 3\r\n\r\nnew"},
