--- a/daemon/main.cpp
+++ b/daemon/main.cpp
@@ -120,7 +120,10 @@
           Reload();
           return;
         }
-        if (++Received > 1) {
+        // The platform may send SIGTERM again, which must not cut requests;
+        // it ends a process for good with SIGKILL.
+        const bool Impatient = !Settings.Direct || Number == SIGINT;
+        if (++Received > 1 && Impatient) {
           ExitStatus = ExitForced;
           Context.stop();
           return;
