--- a/direct/request_flow.cpp
+++ b/direct/request_flow.cpp
@@ -167,7 +167,18 @@
   const Instant HoldUntil =
       Of.Request.Arrived + scaled(Of.Request.Route.Objective, Policy.HoldShare);
   if (Now < HoldUntil) {
-    ++Counters.Held;
+    if (!Of.Held) {
+      ++Counters.Held;
+      log("held", Of,
+          {{"best", Free ? Free->Server->Id.value() : "all_full"},
+           {"expected_ms", Free ? inMs(Free->Expected) : "none"},
+           {"figures_age_ms", Free && Free->FiguresAge < Policy.ProbeTimeout
+                                  ? inMs(Free->FiguresAge)
+                                  : "none"},
+           {"asked", std::to_string(Of.Probed.size())},
+           {"until_ms", inMs(HoldUntil - Of.Request.Arrived)}});
+      Of.Held = true;
+    }
     Of.Probed.clear();
     Of.ProbeRounds = Policy.ProbeRounds - 1;
     Of.ChooseAt = Now + Policy.HoldInterval;
--- a/direct/request_flow.h
+++ b/direct/request_flow.h
@@ -106,6 +106,8 @@
     /// A call may have run.
     bool MayHaveRun = false;
     bool Hedged = false;
+    /// No server fitted the objective when it was asked for one.
+    bool Held = false;
     Reason LastReason = Reason::None;
     /// A server's own failure, told to the caller if nothing better comes.
     AnswerPtr ServerFailure;
