--- a/core/time.h
+++ b/core/time.h
@@ -32,4 +32,15 @@
   return std::chrono::duration<double>(Value).count();
 }
 
+/// Whole milliseconds of \p Value.
+inline std::int64_t wholeMilliseconds(Duration Value) {
+  return std::chrono::duration_cast<std::chrono::milliseconds>(Value).count();
+}
+
+/// \p Value multiplied by \p Factor.
+inline Duration scaled(Duration Value, double Factor) {
+  return Duration(
+      static_cast<Duration::rep>(static_cast<double>(Value.count()) * Factor));
+}
+
 } // namespace mimosacart
--- a/daemon/direct_host_process.cpp
+++ b/daemon/direct_host_process.cpp
@@ -410,7 +410,7 @@
   Log.info("stopping",
            {{"open_requests", std::to_string(Core.openRequests())},
             {"grace_ms",
-             std::to_string(Settings.Direct->StopGrace.count() / 1000)}});
+             std::to_string(wholeMilliseconds(Settings.Direct->StopGrace))}});
   Core.onStop(now());
   Callers.drain();
   if (Registered)
@@ -427,8 +427,7 @@
 void DirectHostProcess::advanceStop() {
   const Duration Grace = Settings.Direct->StopGrace;
   const Duration Age = now() - StopStartedAt;
-  const auto Accepting = Duration(static_cast<Duration::rep>(
-      static_cast<double>(Grace.count()) * AcceptingPart));
+  const Duration Accepting = scaled(Grace, AcceptingPart);
   if (Age >= Accepting && !CallersClosed) {
     CallersClosed = true;
     Callers.stop();
@@ -444,7 +443,7 @@
   }
   Core.onEnd(now());
   Log.info("stopped", {{"open_requests", std::to_string(Core.openRequests())},
-                       {"after_ms", std::to_string(Age.count() / 1000)}});
+                       {"after_ms", std::to_string(wholeMilliseconds(Age))}});
   Log.flush();
   Clock->Stop.expires_after(ExitDelay);
   Clock->Stop.async_wait(
--- a/direct/direct_node.cpp
+++ b/direct/direct_node.cpp
@@ -90,10 +90,7 @@
            {"route", Route->Name},
            {"service", Service.value()},
            {"configuration", std::to_string(Configuration->Version)},
-           {"allowed_ms",
-            std::to_string(
-                std::chrono::duration_cast<std::chrono::milliseconds>(Allowed)
-                    .count())}});
+           {"allowed_ms", std::to_string(wholeMilliseconds(Allowed))}});
   Flow.start(Now, std::move(Next));
 }
 
--- a/direct/fleet_view.cpp
+++ b/direct/fleet_view.cpp
@@ -13,11 +13,12 @@
 } // namespace
 
 FleetView::FleetView(FleetSettings Given,
-                     std::map<StoreTable, TableMirror *> Tables, Hooks Use)
+                     const std::map<StoreTable, TableMirror *> &Tables,
+                     Hooks Use)
     : Settings(std::move(Given)), Use(std::move(Use)),
       LastEvent(Settings.RandomSeed), Notices(NoticeTimes{}),
       Relay(Settings.Self.Host, Settings.Self.DataCentre, Settings.Relay,
-            std::move(Tables), relayHooks()),
+            Tables, relayHooks()),
       Members(Settings.Self, Settings.Seeds, Settings.Times,
               Settings.RandomSeed, membershipHooks()) {
   Relay.setMembers(Members.all());
--- a/direct/fleet_view.h
+++ b/direct/fleet_view.h
@@ -34,8 +34,8 @@
     FlowLogHook Log;
   };
 
-  FleetView(FleetSettings Settings, std::map<StoreTable, TableMirror *> Tables,
-            Hooks Use);
+  FleetView(FleetSettings Settings,
+            const std::map<StoreTable, TableMirror *> &Tables, Hooks Use);
 
   void onMessage(Instant Now, const PeerMessage &Message);
   void tick(Instant Now);
--- a/direct/flow_events.h
+++ b/direct/flow_events.h
@@ -65,6 +65,11 @@
   std::uint64_t Held = 0;
 };
 
+/// Whole milliseconds as a log shows them.
+inline std::string toMsText(Duration Value) {
+  return std::to_string(wholeMilliseconds(Value));
+}
+
 using FlowFields = std::vector<std::pair<std::string, std::string>>;
 using FlowLogHook = std::function<void(const char *Event, const FlowFields &)>;
 
--- a/direct/server_ranking.cpp
+++ b/direct/server_ranking.cpp
@@ -10,11 +10,6 @@
 /// A server that has this many requests waiting for each slot is full.
 constexpr unsigned FullWaitingPerSlot = 1;
 
-Duration scaled(Duration Value, double Factor) {
-  return Duration(
-      static_cast<Duration::rep>(static_cast<double>(Value.count()) * Factor));
-}
-
 } // namespace
 
 std::vector<RankedServer>
--- a/direct/table_relay.cpp
+++ b/direct/table_relay.cpp
@@ -46,7 +46,8 @@
 }
 
 TableRelay::TableRelay(HostName Self, std::string DataCentre, RelayTimes Times,
-                       std::map<StoreTable, TableMirror *> Mirrors, Hooks Use)
+                       const std::map<StoreTable, TableMirror *> &Mirrors,
+                       Hooks Use)
     : Self(std::move(Self)), DataCentre(std::move(DataCentre)), Times(Times),
       Use(std::move(Use)) {
   for (const auto &[Table, Mirror] : Mirrors)
--- a/direct/table_relay.h
+++ b/direct/table_relay.h
@@ -62,7 +62,7 @@
   static constexpr std::size_t MaxGroup = 100;
 
   TableRelay(HostName Self, std::string DataCentre, RelayTimes Times,
-             std::map<StoreTable, TableMirror *> Tables, Hooks Use);
+             const std::map<StoreTable, TableMirror *> &Tables, Hooks Use);
 
   /// The hosts that are there, this one included, have changed.
   void setMembers(const std::vector<MemberRecord> &Members);
--- a/direct/usual_times.cpp
+++ b/direct/usual_times.cpp
@@ -29,8 +29,7 @@
 Duration UsualTimes::usual(const std::string &Route, Duration Objective) const {
   const auto Found = Microseconds.find(Route);
   if (Found == Microseconds.end())
-    return Duration(static_cast<Duration::rep>(
-        static_cast<double>(Objective.count()) * UnknownShareOfObjective));
+    return scaled(Objective, UnknownShareOfObjective);
   return Duration(static_cast<Duration::rep>(Found->second));
 }
 
--- a/tests/direct/request_flow_property_test.cpp
+++ b/tests/direct/request_flow_property_test.cpp
@@ -124,8 +124,9 @@
   std::vector<RequestPtr> Kept;
 };
 
-RC_GTEST_PROP(RequestFlowPropertyTest, anySteps_everyRequest_isTreatedRight,
-              (std::vector<std::pair<std::uint8_t, std::uint8_t>> Steps)) {
+RC_GTEST_PROP(
+    RequestFlowPropertyTest, anySteps_everyRequest_isTreatedRight,
+    (const std::vector<std::pair<std::uint8_t, std::uint8_t>> &Steps)) {
   Model Played;
   // Requests by what the calls carry, to judge each result by its runs.
   for (const auto &[Kind, Detail] : Steps) {
@@ -151,8 +152,9 @@
 }
 
 /// The same for one request at a time, so that its runs are known exactly.
-RC_GTEST_PROP(RequestFlowPropertyTest, onceOnly_anyEnd_runsOnceAndIsToldTruly,
-              (std::vector<std::pair<std::uint8_t, std::uint8_t>> Steps)) {
+RC_GTEST_PROP(
+    RequestFlowPropertyTest, onceOnly_anyEnd_runsOnceAndIsToldTruly,
+    (const std::vector<std::pair<std::uint8_t, std::uint8_t>> &Steps)) {
   Model Played;
   Played.play(Step::StartOnce, 1);
   const RequestId Id = Played.Started.front().Id;
--- a/tests/direct/retry_allowance_test.cpp
+++ b/tests/direct/retry_allowance_test.cpp
@@ -35,7 +35,7 @@
 
 /// Whatever the hosts are asked, the fleet keeps its bound in every window.
 RC_GTEST_PROP(RetryAllowanceTest, spend_manyHosts_fleetKeepsItsBound,
-              (std::vector<std::uint16_t> Steps)) {
+              (const std::vector<std::uint16_t> &Steps)) {
   constexpr std::size_t Hosts = 4;
   const RetryBound Bound{0.2, 56, 10s};
   std::vector<RetryAllowance> Fleet(Hosts, RetryAllowance(Bound, Start));
--- a/tests/direct/table_mirror_test.cpp
+++ b/tests/direct/table_mirror_test.cpp
@@ -66,7 +66,7 @@
 /// Two mirrors that exchange what changed are equal afterwards, in whatever
 /// order and however often rows arrive.
 RC_GTEST_PROP(TableMirrorPropertyTest, rowsAfter_anyOrder_mirrorsAgree,
-              (std::vector<std::uint8_t> Steps)) {
+              (const std::vector<std::uint8_t> &Steps)) {
   std::map<std::string, std::string> Here;
   std::map<std::string, std::string> There;
   const auto Into = [](std::map<std::string, std::string> &State) {
--- a/tests/platform/store_client_test.cpp
+++ b/tests/platform/store_client_test.cpp
@@ -77,8 +77,8 @@
 TEST_F(StoreClientTest, writeRow_value_isSentAsOneTransaction) {
   Next = {200, {}, R"({"ver":3,"now":"1ms"})"};
   StoreResult<void> Got = StoreError::Unavailable;
-  Store.writeRow("t", "k", "hi", [&](StoreResult<void> Result) {
-    Got = std::move(Result);
+  Store.writeRow("t", "k", "hi", [&](const StoreResult<void> &Result) {
+    Got = Result;
     Context.stop();
   });
   Context.run_for(5s);
--- a/tests/settings/settings_test.cpp
+++ b/tests/settings/settings_test.cpp
@@ -138,5 +138,35 @@
                                       "remove kind records/read"}));
 }
 
+TEST(HostSettingsTest, parse_directTable_readsTimesAndShares) {
+  const auto Read = parseHostSettings(std::string(ValidHost) + R"(
+[direct]
+directory = "127.0.0.1:5"
+readiness = "127.0.0.1:6"
+retry_share = 0.3
+retry_slack = 56
+retry_window = "10s"
+stop_grace = "2500ms"
+)",
+                                      "f");
+  ASSERT_TRUE(Read.has_value());
+  ASSERT_TRUE(Read.value().Direct.has_value());
+  EXPECT_EQ(Read.value().Direct->RetryShare, 0.3);
+  EXPECT_EQ(Read.value().Direct->RetrySlack, 56);
+  EXPECT_EQ(Read.value().Direct->StopGrace, std::chrono::milliseconds(2500));
+}
+
+TEST(HostSettingsTest, parse_directTableWithFaults_reportsEach) {
+  const auto Read = parseHostSettings(std::string(ValidHost) + R"(
+[direct]
+directory = "nowhere"
+retry_share = -1
+stop_grace = "soon"
+)",
+                                      "f");
+  ASSERT_TRUE(Read.has_error());
+  EXPECT_EQ(Read.error().size(), 4U);
+}
+
 } // namespace
 } // namespace mimosacart
--- a/tests/standins/store_standin.cpp
+++ b/tests/standins/store_standin.cpp
@@ -1,7 +1,8 @@
 #include "tests/standins/store_standin.h"
 
+#include "platform/base64.h"
+
 #include <nlohmann/json.hpp>
-#include <openssl/evp.h>
 
 namespace mimosacart {
 
@@ -9,27 +10,6 @@
 
 using Json = nlohmann::json;
 
-std::string toBase64(const std::string &Bytes) {
-  std::string Text((Bytes.size() + 2) / 3 * 4 + 1, '\0');
-  const int Length =
-      EVP_EncodeBlock(reinterpret_cast<unsigned char *>(Text.data()),
-                      reinterpret_cast<const unsigned char *>(Bytes.data()),
-                      static_cast<int>(Bytes.size()));
-  Text.resize(static_cast<std::size_t>(Length));
-  return Text;
-}
-
-std::string fromBase64(const std::string &Text) {
-  std::string Bytes(Text.size(), '\0');
-  const int Length =
-      EVP_DecodeBlock(reinterpret_cast<unsigned char *>(Bytes.data()),
-                      reinterpret_cast<const unsigned char *>(Text.data()),
-                      static_cast<int>(Text.size()));
-  const auto Padding = std::count(Text.begin(), Text.end(), '=');
-  Bytes.resize(static_cast<std::size_t>(Length - Padding));
-  return Bytes;
-}
-
 std::map<std::string, std::string> readQuery(const std::string &Target) {
   std::map<std::string, std::string> Result;
   std::size_t At = Target.find('?');
--- a/tests/wire/peer_codec_test.cpp
+++ b/tests/wire/peer_codec_test.cpp
@@ -54,7 +54,7 @@
   Result.ServiceTime = 9ms;
   return {
       Ping{1, Member, 2, Mark, {3, 4}},
-      Ack{1, Member, 2, std::nullopt},
+      Ack{1, Member, 2, std::nullopt, {}},
       PingRequest{3, HostName("x")},
       SoftState{{Member}, {{ServerName("t"), 4, true, 5s}}, {Crash}, Mark},
       LoadReport{{Load}},
--- a/wire/peer_codec.cpp
+++ b/wire/peer_codec.cpp
@@ -7,16 +7,6 @@
 
 namespace {
 
-class WireCategory : public std::error_category {
-public:
-  const char *name() const noexcept override { return "wire"; }
-  std::string message(int Value) const override {
-    return Value == static_cast<int>(WireError::Malformed)
-               ? "not a message of the peer protocol"
-               : "a field of the message has an impossible value";
-  }
-};
-
 /// Thrown within this file only; decode() turns it into WireError::BadField.
 struct BadField {};
 
@@ -450,15 +440,6 @@
 
 } // namespace
 
-const std::error_category &wireCategory() {
-  static const WireCategory Category;
-  return Category;
-}
-
-std::error_code make_error_code(WireError Error) {
-  return {static_cast<int>(Error), wireCategory()};
-}
-
 std::string encode(const PeerMessage &Message) {
   wire::Envelope To;
   To.set_from(Message.From.value());
