Count the delay of what readers vouch for; let each host read large rows

Ruled out: the store (hosts that read it had version 23 at once), the mirror (rows came in order). Tests: onRows_newsOnItsWayForLong_confirmsNothing, onConfirmed_largeRow_isReadFromTheStoreByAll.

--- a/direct/fleet_view.cpp
+++ b/direct/fleet_view.cpp
@@ -65,6 +65,8 @@
 }
 
 void FleetView::onMemberChanged(const MemberRecord &Record, NewsSource Source) {
+  if (Record.Status > MemberStatus::Suspect)
+    Delays.erase(Record.Host);
   Use.Log("member_changed",
           {{"member", Record.Host.value()},
            {"status", toString(Record.Status)},
@@ -140,6 +142,7 @@
 
 void FleetView::onMessage(Instant At, const PeerMessage &Message) {
   Now = At;
+  MessageDelay = Delays[Message.From].observe(Now, Message.SentAt);
   std::visit(
       [this, &Message](const auto &Body) {
         // The other messages belong to hosts that forward work.
@@ -195,7 +198,7 @@
 }
 
 void FleetView::handle(const HostName &From, const TableRows &Message) {
-  Relay.onRows(Now, From, Message);
+  Relay.onRows(Now, From, Message, MessageDelay);
 }
 
 } // namespace mimosacart
--- a/direct/fleet_view.h
+++ b/direct/fleet_view.h
@@ -3,6 +3,7 @@
 /// servers, and rows that a host could not read from the store itself.
 #pragma once
 
+#include "core/delay_estimator.h"
 #include "core/membership.h"
 #include "core/soft_notices.h"
 #include "direct/flow_events.h"
@@ -86,6 +87,10 @@
   /// Time of the event that is being handled.
   Instant Now{};
   Instant NextTick{};
+  /// How long the message that is being handled was on its way, beyond the
+  /// usual.
+  Duration MessageDelay{};
+  std::map<HostName, DelayEstimator> Delays;
   std::uint64_t LastSequence = 0;
   std::uint64_t LastEvent = 0;
   SoftNotices Notices;
--- a/direct/table_relay.cpp
+++ b/direct/table_relay.cpp
@@ -15,6 +15,13 @@
   return std::max(Mirror.version(), Mirror.newest());
 }
 
+std::size_t bytesOf(const std::vector<TableRow> &Rows) {
+  std::size_t Sum = 0;
+  for (const TableRow &Row : Rows)
+    Sum += Row.Key.size() + Row.Value.size();
+  return Sum;
+}
+
 /// Readers come first, in different data centres if there are several.
 std::vector<MemberRecord> orderByRank(std::vector<MemberRecord> Members) {
   std::sort(Members.begin(), Members.end(),
@@ -82,23 +89,32 @@
   });
 }
 
+bool TableRelay::behind(Instant Now) const {
+  const Instant Since = Now - Times.ReadWhenBehindFor;
+  return std::any_of(Tables.begin(), Tables.end(), [Since](const auto &Entry) {
+    const State &Of = Entry.second;
+    return Of.Ahead && Of.BehindSince <= Since &&
+           knownVersion(*Of.Mirror) < Of.AheadVersion;
+  });
+}
+
 void TableRelay::tick(Instant Now) {
   if (!StartedAt)
     StartedAt = Now;
-  decide(Now);
   for (auto &[Table, Of] : Tables) {
-    if (!Of.Ahead || Now < Of.AskAt)
-      continue;
-    if (knownVersion(*Of.Mirror) >= Of.AheadVersion) {
+    if (Of.Ahead && knownVersion(*Of.Mirror) >= Of.AheadVersion)
       Of.Ahead.reset();
+    if (!Of.Ahead || Now < Of.AskAt)
       continue;
-    }
     Of.AskAt = Now + Times.AskAfter * 2;
     Use.Send(*Of.Ahead, TableRequest{Table, Of.Mirror->newest()});
   }
+  decide(Now);
 }
 
 void TableRelay::decide(Instant Now) {
+  if (!StartedAt)
+    return;
   // Before the fleet is known, every host would take itself for a reader.
   if (Now - *StartedAt < Times.FindPeers)
     return;
@@ -113,9 +129,11 @@
       static_cast<Duration::rep>(std::max<std::size_t>(1, Others.size()));
   const Duration Patience =
       IsStandIn ? Times.StandInAfter : Times.ReadAfter + Spread;
-  if (!confirmedSince(Now - Patience)) {
-    ReadUntil = Now + Times.ReadAtLeast;
-    setMode(ReadMode::Close, "not_told");
+  const bool Told = confirmedSince(Now - Patience);
+  if (!Told || behind(Now)) {
+    if (!Told)
+      ReadUntil = Now + Times.ReadAtLeast;
+    setMode(ReadMode::Close, Told ? "behind" : "not_told");
     return;
   }
   if (Now >= ReadUntil)
@@ -144,6 +162,10 @@
   TableRows News =
       Of.Mirror->rowsAfter(Table, SendRows ? Before : Of.Mirror->newest());
   News.ConfirmedAgo = Duration::zero();
+  if (bytesOf(News.Rows) > Times.MaxNewsBytes) {
+    News.Rows.clear();
+    News.After = News.UpTo;
+  }
   for (const HostName &Host : Others)
     Use.Send(Host, News);
 }
@@ -153,8 +175,10 @@
   if (Version <= knownVersion(*Of.Mirror))
     return;
   // A host that knows nothing yet cannot serve, so it does not wait.
-  if (!Of.Ahead)
+  if (!Of.Ahead) {
+    Of.BehindSince = Now;
     Of.AskAt = Of.Mirror->newest() == 0 ? Now : Now + Times.AskAfter;
+  }
   if (Version >= Of.AheadVersion) {
     Of.AheadVersion = Version;
     Of.Ahead = From;
@@ -178,13 +202,14 @@
 }
 
 void TableRelay::onRows(Instant Now, const HostName &From,
-                        const TableRows &Message) {
+                        const TableRows &Message, Duration Delay) {
   State &Of = Tables.at(Message.Table);
   // Rows that follow on versions unknown here would leave a gap.
   const bool Follows =
       Message.Whole || Message.After <= knownVersion(*Of.Mirror);
   if (!Follows) {
     noteAhead(Now, Of, From, Message.UpTo);
+    decide(Now);
     return;
   }
   if (!Message.Rows.empty()) {
@@ -206,7 +231,7 @@
   }
   if (!Message.ConfirmedAgo)
     return;
-  const Instant At = Now - *Message.ConfirmedAgo;
+  const Instant At = Now - *Message.ConfirmedAgo - Delay;
   Of.ConfirmedAt = std::max(Of.ConfirmedAt.value_or(At), At);
 }
 
--- a/direct/table_relay.h
+++ b/direct/table_relay.h
@@ -15,8 +15,14 @@
 
 /// Constants of TableRelay.
 struct RelayTimes {
-  /// How long a peer may be ahead before its rows are asked for.
-  Duration AskAfter = std::chrono::milliseconds(250);
+  /// A host that learns that it is behind reads the store unless the rows come
+  /// within this time.
+  Duration ReadWhenBehindFor = std::chrono::milliseconds(300);
+  /// If that does not help for this long, it asks the peer that is ahead.
+  Duration AskAfter = std::chrono::milliseconds(800);
+  /// Rows of more bytes than this are not sent to all: one host's link would
+  /// hold them up, while each can read them from the store.
+  std::size_t MaxNewsBytes = 16U << 10U;
   /// A host that nobody confirmed to be up to date for this long reads the
   /// store itself.
   Duration ReadAfter = std::chrono::milliseconds(1500);
@@ -75,7 +81,9 @@
                   const TableVersions &Theirs);
   void onRequest(Instant Now, const HostName &From,
                  const TableRequest &Message);
-  void onRows(Instant Now, const HostName &From, const TableRows &Message);
+  /// \p Delay is how long the message was on its way beyond the usual.
+  void onRows(Instant Now, const HostName &From, const TableRows &Message,
+              Duration Delay);
   void tick(Instant Now);
 
   ReadMode mode() const { return Mode; }
@@ -91,6 +99,7 @@
     /// A peer that knows more, its version, and when to ask it.
     std::optional<HostName> Ahead;
     std::uint64_t AheadVersion = 0;
+    Instant BehindSince{};
     Instant AskAt{};
   };
 
@@ -99,6 +108,7 @@
   void decide(Instant Now);
   void setMode(ReadMode Next, const char *Why);
   bool confirmedSince(Instant Since) const;
+  bool behind(Instant Now) const;
 
   const HostName Self;
   const std::string DataCentre;
--- a/tests/direct/table_relay_test.cpp
+++ b/tests/direct/table_relay_test.cpp
@@ -20,6 +20,7 @@
     }};
     TableMirror Servers{[](const TableRow &) {}};
     ReadMode Mode = ReadMode::None;
+    bool AsksNow = false;
     bool Cut = false;
     std::unique_ptr<TableRelay> Relay;
   };
@@ -38,7 +39,11 @@
       Use.Send = [this, From = Member.Host](const HostName &To, PeerBody Body) {
         deliver(From, To, std::move(Body));
       };
-      Use.Read = [&Made](ReadMode Mode) { Made.Mode = Mode; };
+      Use.Read = [&Made](ReadMode Mode) {
+        // The follower asks at once when it begins to follow closely.
+        Made.AsksNow = Mode == ReadMode::Close;
+        Made.Mode = Mode;
+      };
       Use.Log = [](const char *, const FlowFields &) {};
       Made.Relay = std::make_unique<TableRelay>(
           Member.Host, Member.DataCentre, RelayTimes{},
@@ -55,7 +60,9 @@
     if (Target.Cut || Hosts.at(From).Cut)
       return;
     if (const auto *Rows = std::get_if<TableRows>(&Body))
-      Target.Relay->onRows(Now, From, *Rows);
+      OnRows(*Rows);
+    if (const auto *Rows = std::get_if<TableRows>(&Body))
+      Target.Relay->onRows(Now, From, *Rows, Delay);
     if (const auto *Wanted = std::get_if<TableRequest>(&Body))
       Target.Relay->onRequest(Now, From, *Wanted);
   }
@@ -67,7 +74,8 @@
       Now += 50ms;
       const bool Asks = Now.time_since_epoch() % 1s == 0ms;
       for (auto &[Name, Each] : Hosts) {
-        if (Asks && Each.Mode == ReadMode::Close && StoreAnswers)
+        const bool Reads = Each.Mode == ReadMode::Close && StoreAnswers;
+        if (Reads && (Asks || std::exchange(Each.AsksNow, false)))
           read(Each);
         Each.Relay->tick(Now);
       }
@@ -100,6 +108,9 @@
   Instant Now{1h};
   TableRow Stored{"config", 1, false, "one"};
   bool StoreAnswers = true;
+  /// How long messages are on their way, as their receivers find.
+  Duration Delay{};
+  std::function<void(const TableRows &)> OnRows = [](const TableRows &) {};
   std::map<HostName, Host> Hosts;
 };
 
@@ -157,7 +168,7 @@
   Rows.After = 20;
   Rows.UpTo = 21;
   Rows.Rows = {{"other", 21, false, "x"}};
-  Late.Relay->onRows(Now, HostName("host-0"), Rows);
+  Late.Relay->onRows(Now, HostName("host-0"), Rows, 0ms);
   EXPECT_FALSE(Late.Rows.contains("other"));
   EXPECT_LT(Late.Routes.newest(), 21U);
 }
@@ -172,5 +183,25 @@
   EXPECT_EQ(Late.Rows["config"], "x");
 }
 
+TEST_F(TableRelayTest, onRows_newsOnItsWayForLong_confirmsNothing) {
+  pass(6s);
+  EXPECT_EQ(ranked(4).Mode, ReadMode::None);
+  // A reader's link is choked: what it confirms is old when it arrives.
+  Delay = 3s;
+  pass(2500ms);
+  EXPECT_EQ(ranked(4).Mode, ReadMode::Close);
+}
+
+TEST_F(TableRelayTest, onConfirmed_largeRow_isReadFromTheStoreByAll) {
+  pass(3s);
+  Stored = {"config", 7, false, std::string(100'000, 'x')};
+  std::size_t Carried = 0;
+  OnRows = [&Carried](const TableRows &Rows) { Carried += Rows.Rows.size(); };
+  pass(2100ms);
+  EXPECT_EQ(Carried, 0U);
+  for (const auto &[Name, Each] : Hosts)
+    EXPECT_EQ(Each.Rows.at("config").size(), 100'000U) << Name.value();
+}
+
 } // namespace
 } // namespace mimosacart
