--- a/core/request.h
+++ b/core/request.h
@@ -62,6 +62,13 @@
 const std::string *findField(const std::vector<HeaderField> &Fields,
                              std::string_view Name);
 
+/// Whether \p Status is 2xx.
+inline bool isSuccess(unsigned Status) {
+  constexpr unsigned FirstSuccess = 200;
+  constexpr unsigned FirstRedirect = 300;
+  return Status >= FirstSuccess && Status < FirstRedirect;
+}
+
 using AnswerPtr = std::shared_ptr<const Answer>;
 
 /// What a refusal says about the request's effect.
--- a/direct/request_flow.cpp
+++ b/direct/request_flow.cpp
@@ -11,17 +11,6 @@
 constexpr unsigned StatusUnavailable = 503;
 constexpr unsigned StatusRequestTimeout = 408;
 constexpr unsigned StatusMisdirected = 421;
-constexpr unsigned StatusFirstSuccess = 200;
-constexpr unsigned StatusFirstRedirect = 300;
-
-/// Weights of signs against a server; a failed request counts 1.
-constexpr double ShedWeight = 0.4;
-constexpr double WrongServerWeight = 3;
-constexpr double HedgeWonWeight = 0.3;
-
-bool isSuccess(unsigned Status) {
-  return Status >= StatusFirstSuccess && Status < StatusFirstRedirect;
-}
 
 /// Whether an entry host may only send \p Status if the request has not run.
 bool isPromise(unsigned Status) {
@@ -145,9 +134,9 @@
   if (!Answer.WrongServer)
     Board.noteFigures(Now, Call.Server, Answer.Load);
   if (Answer.WrongServer)
-    Board.noteFailure(Now, Call.Server, WrongServerWeight);
+    Board.noteFailure(Now, Call.Server, Policy.WrongServerWeight);
   else if (Answer.NotRun)
-    Board.noteFailure(Now, Call.Server, ShedWeight);
+    Board.noteFailure(Now, Call.Server, Policy.ShedWeight);
   else if (Answer.Reply->Status >= StatusServerError)
     Board.noteFailure(Now, Call.Server, 1);
   else
@@ -173,7 +162,7 @@
   if (isSuccess(Status) && Answer.Signed) {
     for (const CallId Slower : Of.OpenCalls)
       if (Of.Request.Route.Idempotent)
-        Board.noteFailure(Now, Calls.at(Slower).Server, HedgeWonWeight);
+        Board.noteFailure(Now, Calls.at(Slower).Server, Policy.HedgeWonWeight);
     end(Now, Of, Answer.Reply, Call.Server, {});
     return;
   }
@@ -211,13 +200,13 @@
     Of.LastReason = Reason::ServerUnreachable;
   }
   if (End == CallEnd::Broken)
-    verifyCrash(Now, Call, Of.Request.Service);
+    verifyCrash(Call, Of.Request.Service);
   repeatOrEnd(Now, Of);
 }
 
 /// A connection that broke while it carried a request may mean that the
 /// server crashed; whether it still answers tells.
-void RequestFlow::verifyCrash(Instant /*Now*/, const OpenCall &Call,
+void RequestFlow::verifyCrash(const OpenCall &Call,
                               const ServiceSettings &Service) {
   const DiscoveredServer *Server = Registry.find(Call.Server);
   if (Server != nullptr)
--- a/direct/request_flow.h
+++ b/direct/request_flow.h
@@ -54,6 +54,10 @@
   /// A server's late answer is waited for so long after the deadline, for the
   /// sake of its connection.
   Duration LateAnswerTime = std::chrono::milliseconds(300);
+  /// Weights of signs against a server; a failed request counts 1.
+  double ShedWeight = 0.4;
+  double WrongServerWeight = 3;
+  double HedgeWonWeight = 0.3;
   /// Crashed servers after which a request is not sent any more.
   std::size_t MaxCrashes = 3;
 };
@@ -160,8 +164,7 @@
   void end(Instant Now, Flow &Of, AnswerPtr Reply, const ServerName &Server,
            Refusal Refused);
   void endWithoutAnswer(Instant Now, Flow &Of, Reason Otherwise);
-  void verifyCrash(Instant Now, const OpenCall &Call,
-                   const ServiceSettings &Service);
+  void verifyCrash(const OpenCall &Call, const ServiceSettings &Service);
   void setWake(Flow &Of);
   Duration usualOf(const Flow &Of) const;
   RetryAllowance &allowanceOf(const ServiceName &Service);
--- a/direct/request_flow_choice.cpp
+++ b/direct/request_flow_choice.cpp
@@ -6,14 +6,6 @@
 
 namespace mimosacart {
 
-namespace {
-
-/// Weight of an answer by another server than the one that was asked; a failed
-/// request counts 1.
-constexpr double OtherServerWeight = 3;
-
-} // namespace
-
 /// Looks for a server: one with fresh and good figures at once, else the best
 /// after some rounds of probes.
 void RequestFlow::choose(Instant Now, Flow &Of) {
@@ -181,7 +173,7 @@
   const bool Other = Result.Answered && !Result.Server.value().empty() &&
                      Result.Server != Probe.Server;
   if (!Result.Answered || Other) {
-    Board.noteFailure(Now, Probe.Server, Other ? OtherServerWeight : 1);
+    Board.noteFailure(Now, Probe.Server, Other ? Policy.WrongServerWeight : 1);
   } else {
     Board.noteFigures(Now, Probe.Server, Result.Load);
     Board.noteHealth(Probe.Server, Result.Healthy);
--- a/soak/promises.cpp
+++ b/soak/promises.cpp
@@ -20,8 +20,6 @@
   return Status == 503 || Status == 429 || Status == 408 || Status == 421;
 }
 
-bool isSuccess(unsigned Status) { return Status >= 200 && Status < 300; }
-
 } // namespace
 
 SeenRequest &Promises::add(SeenRequest Request) {
