--- a/daemon/table_follower.cpp
+++ b/daemon/table_follower.cpp
@@ -8,9 +8,8 @@
 
 namespace {
 
-/// A wait for changes lasts so long at most.
-/// Others rely on this host to notice within that time, and a little more,
-/// that the store no longer answers.
+/// Others rely on a close reader to notice within about one such wait that the
+/// store no longer answers.
 constexpr Duration CloseWait = std::chrono::seconds(1);
 constexpr Duration StandbyWait = std::chrono::seconds(8);
 /// Changes that come soon after one another are fetched together.
@@ -160,8 +159,7 @@
   Pause = std::min(Pause, LastRetry);
   const double Spread =
       std::uniform_real_distribution<double>(0, RetrySpread)(Random);
-  Pause += Duration(
-      static_cast<Duration::rep>(static_cast<double>(Pause.count()) * Spread));
+  Pause += scaled(Pause, Spread);
   later(Pause, [this] {
     if (Begun)
       awaitChanges(Duration::zero());
