--- a/tests/daemon/table_follower_test.cpp
+++ b/tests/daemon/table_follower_test.cpp
@@ -144,5 +144,17 @@
   EXPECT_EQ(Store.calls(), Before);
 }
 
+TEST_F(TableFollowerTest, start_severalPages_readsThemAll) {
+  Table Wanted = {{"a", "1"}};
+  for (const char *Key : {"b", "c&d=e", "f%20g", "h i"}) {
+    Store.put("t", Key, "2");
+    Wanted[Key] = "2";
+  }
+  Store.setPageRows(1);
+  Follower->start();
+  run(500ms);
+  EXPECT_EQ(Rows, Wanted);
+}
+
 } // namespace
 } // namespace mimosacart
--- a/tests/standins/store_standin.cpp
+++ b/tests/standins/store_standin.cpp
@@ -4,12 +4,31 @@
 
 #include <nlohmann/json.hpp>
 
+#include <algorithm>
+#include <cctype>
+
 namespace mimosacart {
 
 namespace {
 
 using Json = nlohmann::json;
 
+/// Percent-decoding (RFC 3986, section 2.1).
+std::string decodeText(const std::string &Text) {
+  constexpr int Hexadecimal = 16;
+  std::string Result;
+  for (std::size_t At = 0; At < Text.size(); ++At) {
+    if (Text[At] != '%') {
+      Result += Text[At];
+      continue;
+    }
+    Result += static_cast<char>(
+        std::stoi(Text.substr(At + 1, 2), nullptr, Hexadecimal));
+    At += 2;
+  }
+  return Result;
+}
+
 std::map<std::string, std::string> readQuery(const std::string &Target) {
   std::map<std::string, std::string> Result;
   std::size_t At = Target.find('?');
@@ -18,7 +37,7 @@
     const std::string Pair = Target.substr(At + 1, End - At - 1);
     const std::size_t Equals = Pair.find('=');
     Result[Pair.substr(0, Equals)] =
-        Equals == std::string::npos ? "" : Pair.substr(Equals + 1);
+        Equals == std::string::npos ? "" : decodeText(Pair.substr(Equals + 1));
     At = End;
   }
   return Result;
@@ -68,18 +87,38 @@
   Json Listed = Json::array();
   const auto Found = Tables.find(Table);
   if (Found != Tables.end())
-    for (const auto &[Key, Each] : Found->second) {
-      if (Each.Version <= After || (Each.Removed && !WithRemoved))
+    for (const auto &[Key, Each] : Found->second)
+      if (Each.Version > After && (WithRemoved || !Each.Removed))
+        Listed.push_back(toJson(Table, Key, Each));
+  return Json({{"rows", Listed}, {"ver", Version}, {"hasMore", false}}).dump();
+}
+
+std::string StoreStandin::listPage(const std::string &Table,
+                                   const std::string &From) const {
+  Json Listed = Json::array();
+  bool More = false;
+  const auto Found = Tables.find(Table);
+  if (Found != Tables.end())
+    for (auto Row = Found->second.lower_bound(From);
+         Row != Found->second.end() && !More; ++Row) {
+      if (Row->second.Removed)
         continue;
-      Json Row = {
-          {"table", Table}, {"part", ""}, {"key", Key}, {"ver", Each.Version}};
-      if (Each.Removed)
-        Row["tombstone"] = true;
-      else
-        Row["value"] = toBase64(Each.Value);
-      Listed.push_back(std::move(Row));
+      More = Listed.size() == PageRows;
+      if (!More)
+        Listed.push_back(toJson(Table, Row->first, Row->second));
     }
-  return Json({{"rows", Listed}, {"ver", Version}, {"hasMore", false}}).dump();
+  return Json({{"rows", Listed}, {"ver", Version}, {"hasMore", More}}).dump();
+}
+
+Json StoreStandin::toJson(const std::string &Table, const std::string &Key,
+                          const Row &From) {
+  Json Result = {
+      {"table", Table}, {"part", ""}, {"key", Key}, {"ver", From.Version}};
+  if (From.Removed)
+    Result["tombstone"] = true;
+  else
+    Result["value"] = toBase64(From.Value);
+  return Result;
 }
 
 void StoreStandin::onRequest(const HttpRequest &Request,
@@ -93,10 +132,17 @@
     Exchange->respond({503, {}, ""});
     return;
   }
+  const bool Malformed =
+      std::any_of(Request.Target.begin(), Request.Target.end(),
+                  [](unsigned char Each) { return std::iscntrl(Each) != 0; });
+  if (Malformed) {
+    Exchange->respond({400, {}, ""});
+    return;
+  }
   const auto Query = readQuery(Request.Target);
   const std::string Path = Request.Target.substr(0, Request.Target.find('?'));
   if (Path == "/v1/rows-get")
-    Exchange->respond({200, {}, listRows(Query.at("table"), 0, false)});
+    Exchange->respond({200, {}, listPage(Query.at("table"), Query.at("from"))});
   else if (Path == "/v1/rows-feed")
     onFeed(Query, Exchange);
   else if (Path == "/v1/rows-tx")
--- a/tests/standins/store_standin.h
+++ b/tests/standins/store_standin.h
@@ -6,6 +6,8 @@
 #include "net/asio.h"
 #include "net/http_server.h"
 
+#include <nlohmann/json.hpp>
+
 #include <map>
 #include <memory>
 #include <string>
@@ -30,6 +32,8 @@
   /// Answers to feeds of earlier versions that their history is gone.
   void forgetHistory();
   void setMood(StoreMood Next) { Mood = Next; }
+  /// Rows in one answer to a read, at most.
+  void setPageRows(std::size_t Count) { PageRows = Count; }
 
   std::size_t calls() const { return Calls; }
   std::size_t rows(const std::string &Table) { return Tables[Table].size(); }
@@ -57,6 +61,9 @@
                       Row Next);
   std::string listRows(const std::string &Table, std::uint64_t After,
                        bool WithRemoved) const;
+  std::string listPage(const std::string &Table, const std::string &From) const;
+  static nlohmann::json toJson(const std::string &Table, const std::string &Key,
+                               const Row &From);
   void wakeFeeds();
 
   asio::io_context &Context;
@@ -65,6 +72,7 @@
   std::uint64_t Version = 0;
   std::uint64_t HistoryFrom = 0;
   StoreMood Mood = StoreMood::Sound;
+  std::size_t PageRows = 500;
   std::size_t Calls = 0;
   /// Exchanges that are never answered.
   std::vector<std::shared_ptr<HttpExchange>> Silenced;
