Do not take a server for one without load figures after one answer without them

Cause (found on reading): an answer that lacks the load header, such as a spoilt one, marked its server as one that never tells its load; such servers are ranked as fresh and good, so requests went there unprobed until the next answer with figures. Change: a server that told its load once stays one that does. Test: rank_oneAnswerWithoutFigures_stillNeedsAProbe, failed before.

--- a/direct/load_board.cpp
+++ b/direct/load_board.cpp
@@ -40,7 +40,9 @@
   if (Found == Known.end())
     return;
   ServerKnowledge &Of = Found->second;
-  Of.TellsLoad = Figures.has_value();
+  // A spoilt answer of a server that told its load before says nothing.
+  if (Figures || !Of.Figures)
+    Of.TellsLoad = Figures.has_value();
   if (!Figures)
     return;
   Of.Figures = Figures;
--- a/tests/direct/small_parts_test.cpp
+++ b/tests/direct/small_parts_test.cpp
@@ -102,6 +102,15 @@
   EXPECT_TRUE(Ranked.front().Good);
 }
 
+TEST_F(ServerRankingTest, rank_oneAnswerWithoutFigures_stillNeedsAProbe) {
+  add("a");
+  tell("a", 0, 100);
+  Now += 1s;
+  Board.noteFigures(Now, ServerName("a"), std::nullopt);
+  best();
+  EXPECT_FALSE(Ranked.front().Fresh);
+}
+
 TEST_F(ServerRankingTest, rank_anotherIncarnation_startsWithoutHistory) {
   const DiscoveredServer &Server = add("a");
   Board.noteFailure(Now, Server.Id, 3);
