Let the store client's tests ask the port they listen on

Cause: StoreClientTest built the client, a member, with the first port before the constructor's body looked for a free one. Ruled out: the client and the server; the table follower's fixture builds its client after listening. Change: the fixture listens first and hands that address to the client.

--- a/tests/platform/store_client_test.cpp
+++ b/tests/platform/store_client_test.cpp
@@ -13,9 +13,13 @@
 /// A store that answers whatever the test wants.
 class StoreClientTest : public testing::Test {
 protected:
-  StoreClientTest() {
-    while (Server.listen(Address).has_error())
-      Address = "127.0.0.1:" + std::to_string(++Port);
+  /// Tests run side by side: takes the first port that nobody listens on.
+  std::string listenOnFreePort() {
+    unsigned Port = 23100;
+    std::string Free = "127.0.0.1:" + std::to_string(Port);
+    while (Server.listen(Free).has_error())
+      Free = "127.0.0.1:" + std::to_string(++Port);
+    return Free;
   }
 
   StoreResult<StoreRows> changes(HttpResponse Response) {
@@ -31,8 +35,6 @@
   }
 
   asio::io_context Context;
-  unsigned Port = 23100;
-  std::string Address = "127.0.0.1:23100";
   HttpResponse Next;
   HttpRequest Asked;
   HttpServer Server{Context,
@@ -46,7 +48,8 @@
                       return HttpResponse{400, {}, ""};
                     }};
   HttpClient Http{Context, 1U << 20U};
-  StoreClient Store{Http, Address, 1s};
+  // Listens first: the client keeps the address it is built with.
+  StoreClient Store{Http, listenOnFreePort(), 1s};
 };
 
 TEST_F(StoreClientTest, awaitChanges_rowsAndRemovals_areRead) {
