Wait for each change anew before a host reads the store itself

Cause: a host that hears of newer rows than it has reads the store if it is still behind after 300 ms. Ruled out: rows too large to be pushed (none was), lost messages (none). Change: the version waited for is kept; once it came, the wait for the next one counts from when that was heard of. Test: onVersions_changeAfterChange_nobodyElseReads, failing before from the third change on.

--- a/direct/table_relay.cpp
+++ b/direct/table_relay.cpp
@@ -94,16 +94,28 @@
   return std::any_of(Tables.begin(), Tables.end(), [Since](const auto &Entry) {
     const State &Of = Entry.second;
     return Of.Ahead && Of.BehindSince <= Since &&
-           knownVersion(*Of.Mirror) < Of.AheadVersion;
+           knownVersion(*Of.Mirror) < Of.AwaitedVersion;
   });
 }
 
+void TableRelay::noteProgress(State &Of) const {
+  const std::uint64_t Known = knownVersion(*Of.Mirror);
+  if (Of.Ahead && Known >= Of.AheadVersion)
+    Of.Ahead.reset();
+  // While changes follow one another, something newer is always heard of;
+  // only a change that does not come tells that the news are lost.
+  if (Of.Ahead && Known >= Of.AwaitedVersion) {
+    Of.AwaitedVersion = Of.AheadVersion;
+    Of.BehindSince = Of.AheadAt;
+    Of.AskAt = Of.AheadAt + Times.AskAfter;
+  }
+}
+
 void TableRelay::tick(Instant Now) {
   if (!StartedAt)
     StartedAt = Now;
   for (auto &[Table, Of] : Tables) {
-    if (Of.Ahead && knownVersion(*Of.Mirror) >= Of.AheadVersion)
-      Of.Ahead.reset();
+    noteProgress(Of);
     if (!Of.Ahead || Now < Of.AskAt)
       continue;
     Of.AskAt = Now + Times.AskAfter * 2;
@@ -174,15 +186,20 @@
                            std::uint64_t Version) {
   if (Version <= knownVersion(*Of.Mirror))
     return;
+  noteProgress(Of);
   // A host that knows nothing yet cannot serve, so it does not wait.
   if (!Of.Ahead) {
+    Of.AwaitedVersion = Version;
+    Of.AheadVersion = 0;
     Of.BehindSince = Now;
     Of.AskAt = Of.Mirror->newest() == 0 ? Now : Now + Times.AskAfter;
   }
-  if (Version >= Of.AheadVersion) {
-    Of.AheadVersion = Version;
-    Of.Ahead = From;
-  }
+  if (Version < Of.AheadVersion)
+    return;
+  if (Version > Of.AheadVersion)
+    Of.AheadAt = Now;
+  Of.AheadVersion = Version;
+  Of.Ahead = From;
 }
 
 void TableRelay::onVersions(Instant Now, const HostName &From,
--- a/direct/table_relay.h
+++ b/direct/table_relay.h
@@ -96,11 +96,16 @@
     TableMirror *Mirror = nullptr;
     /// When somebody last confirmed that this host was up to date.
     std::optional<Instant> ConfirmedAt;
-    /// A peer that knows more, its version, and when to ask it.
+    /// A peer that knows more, its version, since when that is known, and
+    /// when to ask it.
     std::optional<HostName> Ahead;
     std::uint64_t AheadVersion = 0;
-    Instant BehindSince{};
+    Instant AheadAt{};
     Instant AskAt{};
+    /// The version that is waited for, and since when; later ones are waited
+    /// for once it came.
+    std::uint64_t AwaitedVersion = 0;
+    Instant BehindSince{};
   };
 
   void noteAhead(Instant Now, State &Of, const HostName &From,
@@ -109,6 +114,8 @@
   void setMode(ReadMode Next, const char *Why);
   bool confirmedSince(Instant Since) const;
   bool behind(Instant Now) const;
+  /// Forgets the versions that came meanwhile.
+  void noteProgress(State &Of) const;
 
   const HostName Self;
   const std::string DataCentre;
--- a/tests/direct/table_relay_test.cpp
+++ b/tests/direct/table_relay_test.cpp
@@ -193,6 +193,28 @@
   EXPECT_EQ(ranked(4).Mode, ReadMode::Close);
 }
 
+// Servers that register over seconds: each change is soon there, but a newer
+// one is heard of before the last one came.
+TEST_F(TableRelayTest, onVersions_changeAfterChange_nobodyElseReads) {
+  pass(6s);
+  Host &Follower = ranked(3);
+  for (unsigned Step = 0; Step < 20; ++Step) {
+    const std::uint64_t Known = Follower.Routes.newest();
+    Follower.Relay->onVersions(Now, HostName("host-0"), {Known + 2, 0});
+    pass(100ms);
+    TableRows News;
+    News.Table = StoreTable::Routes;
+    News.After = Known;
+    News.UpTo = Known + 1;
+    News.Rows = {{"config", Known + 1, false, "next"}};
+    Follower.Relay->onRows(Now, HostName("host-0"), News, 0ms);
+    EXPECT_NE(Follower.Mode, ReadMode::Close) << "change " << Step;
+  }
+  // The last one never comes.
+  pass(400ms);
+  EXPECT_EQ(Follower.Mode, ReadMode::Close);
+}
+
 TEST_F(TableRelayTest, onConfirmed_largeRow_isReadFromTheStoreByAll) {
   pass(3s);
   Stored = {"config", 7, false, std::string(100'000, 'x')};
