Do not let a quote within a value hide characters from the TOML check

Cause: toml++ 3.3 runs into undefined behaviour on some characters outside ASCII where a bare value could be; our check let them pass within quotes, also where the quote stands inside a bare value (a =+"...). Found by the settings fuzzer once its inputs changed. Ruled out: refusing such characters in all texts (operators write names so). Change: a text with such characters is parsed with a letter in their place first; only in what is TOML otherwise does our check of quotes decide. Test: two more cases of parse_characterOutsideAscii_onlyInCommentsAndTexts and the input in the fuzzer's corpus, which ended the fuzzer before (rc 1) and does not now.

--- a/settings/toml_reader.cpp
+++ b/settings/toml_reader.cpp
@@ -96,6 +96,23 @@
   return std::nullopt;
 }
 
+/// \p Text with one letter for each character outside ASCII, so that columns
+/// stay the same.
+std::string replaceNonAscii(std::string_view Text) {
+  constexpr unsigned char FirstNonAscii = 0x80;
+  constexpr unsigned char FirstLeadByte = 0xC0;
+  std::string Result;
+  Result.reserve(Text.size());
+  for (const char Each : Text) {
+    const auto Byte = static_cast<unsigned char>(Each);
+    if (Byte < FirstNonAscii)
+      Result += Each;
+    else if (Byte >= FirstLeadByte)
+      Result += 'x';
+  }
+  return Result;
+}
+
 } // namespace
 
 std::string format(const FieldError &Error) {
@@ -126,10 +143,18 @@
 }
 
 Checked<toml::table> parseToml(std::string_view Text, const std::string &File) {
-  if (const auto Stray = findStrayCharacter(Text))
-    return FieldErrors{{File, Stray->line, Stray->column, "",
-                        "found a character outside ASCII, which only comments "
-                        "and quoted texts of one line may hold"}};
+  const std::string Plain = replaceNonAscii(Text);
+  if (Plain != Text) {
+    // Only in what is TOML otherwise do quotes tell where texts begin and end.
+    auto Read = parseToml(Plain, File);
+    if (Read.has_error())
+      return Read;
+    if (const auto Stray = findStrayCharacter(Text))
+      return FieldErrors{
+          {File, Stray->line, Stray->column, "",
+           "found a character outside ASCII, which only comments "
+           "and quoted texts of one line may hold"}};
+  }
   try {
     return toml::parse(Text);
   } catch (const toml::parse_error &Error) {
--- a/tests/settings/settings_test.cpp
+++ b/tests/settings/settings_test.cpp
@@ -72,7 +72,9 @@
 TEST(HostSettingsTest, parse_characterOutsideAscii_onlyInCommentsAndTexts) {
   // The first of these made toml++ 3.3 run into undefined behaviour.
   for (const char *Text : {"\xef\xbb\xb7# comment\n", "a.\xc3\xa9 = 1\n",
-                           "\"a\".\xc3\xa9 = 1\n", "a = 1 \xc3\xa9\n"}) {
+                           "\"a\".\xc3\xa9 = 1\n", "a = 1 \xc3\xa9\n",
+                           // So did these, by quotes that begin no text.
+                           "a =+\"\xc3\xa9\"\n", "a = 1=\"\xc3\xa9\"\n"}) {
     const auto Read = parseHostSettings(Text, "f");
     ASSERT_TRUE(Read.has_error());
     EXPECT_EQ(Read.error().size(), 1U) << Text;
