--- a/core/text.h
+++ b/core/text.h
@@ -20,7 +20,11 @@
                     });
 }
 
-/// Reads a number that is not negative with its unit, `ms` or `s`.
+/// Longer times are taken for mistakes; sums with them stay in range.
+inline constexpr Duration LongestDuration = std::chrono::hours(24 * 365);
+
+/// Reads a number that is not negative with its unit, `ms` or `s`, up to
+/// LongestDuration.
 inline std::optional<Duration> parseDuration(std::string_view Text) {
   constexpr double MicrosecondsPerMs = 1e3;
   constexpr double MicrosecondsPerSecond = 1e6;
@@ -29,10 +33,17 @@
   const auto Read = std::from_chars(Text.data(), End, Number);
   const std::string_view Unit(Read.ptr,
                               static_cast<std::size_t>(End - Read.ptr));
-  if (Read.ec != std::errc() || Number < 0 || (Unit != "ms" && Unit != "s"))
+  if (Read.ec != std::errc() || (Unit != "ms" && Unit != "s"))
     return std::nullopt;
   const double Scale = Unit == "s" ? MicrosecondsPerSecond : MicrosecondsPerMs;
-  return Duration(static_cast<Duration::rep>(Number * Scale));
+  const double Microseconds = Number * Scale;
+  // Not a number, which from_chars reads too, is in no range.
+  const bool InRange =
+      Microseconds >= 0 &&
+      Microseconds <= static_cast<double>(LongestDuration.count());
+  if (!InRange)
+    return std::nullopt;
+  return Duration(static_cast<Duration::rep>(Microseconds));
 }
 
 } // namespace mimosacart
--- /dev/null
+++ b/fuzz/platform_fuzzer.cpp
@@ -0,0 +1,112 @@
+/// \file
+/// What the platform sends: any rows, requests and answers are read or told to
+/// be unusable. The first byte chooses what the rest is.
+#include "platform/base64.h"
+#include "platform/documents.h"
+#include "platform/exchanges.h"
+
+#include <cstdint>
+#include <cstdlib>
+#include <stdexcept>
+
+namespace {
+
+using namespace mimosacart;
+
+void require(bool Holds) {
+  if (!Holds)
+    std::abort();
+}
+
+bool isSensible(Duration Time) {
+  return Time >= Duration::zero() && Time <= std::chrono::hours(24 * 366);
+}
+
+void readConfigurationRow(const std::string &Text) {
+  const auto Read = readConfiguration({"config", 1, false, Text});
+  const auto *Usable = std::get_if<RouteConfigurationPtr>(&Read);
+  if (Usable == nullptr)
+    return;
+  require(*Usable != nullptr);
+  for (const HostRoute &Route : (*Usable)->Routes) {
+    require(!Route.Services.empty());
+    require(isSensible(Route.Timeout) && isSensible(Route.Objective));
+  }
+}
+
+void readServerRow(const std::string &Text) {
+  const auto Read = readServer({"a", 1, false, Text});
+  if (const auto *Server = std::get_if<DiscoveredServer>(&Read))
+    require(isSensible(Server->WarmUpLeft) && Server->Slots > 0);
+}
+
+void readBase64(const std::string &Text) {
+  try {
+    (void)fromBase64(Text);
+  } catch (const std::invalid_argument &) { // What it promises for other text.
+  }
+  require(fromBase64(toBase64(Text)) == Text);
+}
+
+/// Lines of names and values, then an empty line and the body.
+HttpResponse readResponse(const std::string &Text) {
+  HttpResponse Response{200, {}, ""};
+  std::size_t At = 0;
+  while (At < Text.size()) {
+    const std::size_t End = std::min(Text.find('\n', At), Text.size());
+    const std::string Line = Text.substr(At, End - At);
+    At = End + 1;
+    if (Line.empty())
+      break;
+    const std::size_t Colon = std::min(Line.find(':'), Line.size());
+    Response.Headers.push_back(
+        {Line.substr(0, Colon), Line.substr(std::min(Colon + 1, Line.size()))});
+  }
+  Response.Body = Text.substr(std::min(At, Text.size()));
+  return Response;
+}
+
+void readExchange(const std::string &Text) {
+  const HttpResponse Response = readResponse(Text);
+  const ServerCallResult Answered = readServerAnswer(Response);
+  require(Answered.End == CallEnd::Answered && Answered.Answer.Reply);
+  (void)readProbe(Response);
+  FlowResult Result;
+  Result.Reply = Answered.Answer.Reply;
+  require(writeCallerAnswer(Result).Body == Response.Body);
+  const RequestPtr Request =
+      readCallerRequest({"GET", "/", Response.Headers, Response.Body, "a"});
+  if (Request->Timeout)
+    require(isSensible(*Request->Timeout));
+  DirectCall Call;
+  Call.Request = Request;
+  const HttpCall Sent = writeServerCall(Call);
+  require(Sent.Request.Body == Response.Body);
+  (void)Sent.Accept(Response);
+}
+
+} // namespace
+
+extern "C" int LLVMFuzzerTestOneInput( // NOLINT: the library's name.
+    const std::uint8_t *Data, std::size_t Size) {
+  if (Size == 0)
+    return 0;
+  const std::string Text(reinterpret_cast<const char *>(Data) + 1, Size - 1);
+  switch (Data[0]) {
+  case 'c':
+    readConfigurationRow(Text);
+    break;
+  case 's':
+    readServerRow(Text);
+    break;
+  case 'h':
+    (void)readHost({"a", 1, false, Text});
+    break;
+  case 'b':
+    readBase64(Text);
+    break;
+  default:
+    readExchange(Text);
+  }
+  return 0;
+}
--- a/scripts/fuzz.sh
+++ b/scripts/fuzz.sh
@@ -11,8 +11,8 @@
 cmake -S . -B "$build" -G Ninja -DMIMOSACART_FUZZ=ON \
   -DCMAKE_C_COMPILER=clang -DCMAKE_CXX_COMPILER=clang++ >/dev/null
 cmake --build "$build" --target configuration_fuzzer settings_fuzzer \
-  peer_fuzzer | tail -n 1
-for name in configuration settings peer; do
+  peer_fuzzer platform_fuzzer | tail -n 1
+for name in configuration settings peer platform; do
   work=$build/corpus/$name
   rm -rf "$work"
   mkdir -p "$work"
--- a/tests/platform/documents_test.cpp
+++ b/tests/platform/documents_test.cpp
@@ -89,6 +89,24 @@
   }
 }
 
+TEST(DocumentsTest, readConfiguration_numbersOutOfRange_areRefused) {
+  const std::vector<std::pair<std::string, Json>> Damages = {
+      {"/version", -1},
+      {"/routes/rows/0/4", "1e30s"},
+      {"/routes/rows/0/5", "nans"},
+      {"/routes/rows/0/6", -1},
+      {"/routes/rows/0/8", 4294967296},
+      {"/routes/rows/1/9/0/weight", 1e300},
+      {"/services/rows/0/2", -220},
+      {"/limits/maxBodyBytes", -1},
+      {"/limits/idleTimeout", "infs"}};
+  for (const auto &[Path, Value] : Damages) {
+    Json Document = makeConfiguration();
+    Document[Json::json_pointer(Path)] = Value;
+    EXPECT_EQ(configurationOf(Document), nullptr) << Path << " " << Value;
+  }
+}
+
 TEST(DocumentsTest, readServer_wholeEntry_keepsEveryField) {
   const auto Read = readServer({"i-1", 1, false, makeServer().dump()});
   const auto &Server = std::get<DiscoveredServer>(Read);
@@ -110,11 +128,22 @@
 
 TEST(DocumentsTest, readServer_missingOrMistypedField_namesNoServer) {
   const std::vector<std::pair<std::string, Json>> Damages = {
-      {"/address", 7},           {"/info/service", Json()},
-      {"/info/zone", 1},         {"/info/concurrency", "two"},
-      {"/status/state", "idle"}, {"/status/sequence", "x"},
-      {"/born", "today"},        {"/born", 1.5},
-      {"/info", Json::array()},  {"/status/warmupLeft", 3}};
+      {"/address", 7},
+      {"/info/service", Json()},
+      {"/info/zone", 1},
+      {"/info/concurrency", "two"},
+      {"/status/state", "idle"},
+      {"/status/sequence", "x"},
+      {"/born", "today"},
+      {"/born", 1.5},
+      {"/info", Json::array()},
+      {"/status/warmupLeft", 3},
+      {"/info/concurrency", 0},
+      {"/info/concurrency", -2},
+      {"/born", -1},
+      {"/info/concurrency", 1e300},
+      {"/status/sequence", -4},
+      {"/status/warmupLeft", "1e30s"}};
   for (const auto &[Path, Value] : Damages) {
     Json Entry = makeServer();
     Entry[Json::json_pointer(Path)] = Value;
--- a/tests/platform/exchanges_test.cpp
+++ b/tests/platform/exchanges_test.cpp
@@ -51,6 +51,15 @@
   EXPECT_EQ(readCallerRequest(Request)->Timeout, std::nullopt);
 }
 
+TEST(ExchangesTest, readCallerRequest_deadlineBeyondAllTimes_isALongOne) {
+  HttpRequest Request = makeRequest();
+  Request.Headers[2].Value = "9223372036854775807";
+  const auto Read = readCallerRequest(Request)->Timeout;
+  ASSERT_TRUE(Read.has_value());
+  EXPECT_GE(*Read, 24h);
+  EXPECT_LE(*Read, 24h * 366);
+}
+
 TEST(ExchangesTest, writeServerCall_request_isUnchangedButForOurHeaders) {
   const HttpCall Call = writeServerCall(makeCall());
   EXPECT_EQ(Call.Request.Method, "POST");
