Ask a store that is away less often, and leave it to the readers sooner

Ruled out: the readers, about 3 calls a second. Change: beyond the first eight hosts by rank the longest pause is 2 s, and the first retry comes after an eighth of the longest; only a host whose own reading helped goes on for 2 s; 450 instead of 300 ms before a host that is behind reads; at the start the readers get their usual time for a first word; after the first answer a host waits 150 ms before it asks again, since it is often told meanwhile. Ruled out too: ending the reading after 500 ms in every case; a host behind a choked reader would then change between both (onRows_newsOnItsWayForLong_confirmsNothing fails). Tests, failing before: tick_storeBack_hostsSoonLeaveItToTheReaders (5 hosts read instead of 2), tick_start_readersWordIsWaitedFor, follow_noLongerNeededAfterTheAnswer_asksOnce; longestRetry_manyHosts_ onlySomeAskOften and follow_storeRefuses_retriesAsSeldomAsTold need the new pause.

--- a/daemon/direct_host_process.cpp
+++ b/daemon/direct_host_process.cpp
@@ -208,6 +208,7 @@
       Core.onStoreRegained(now());
   };
   Result.Known = [this, Table] { return Core.tableVersion(Table); };
+  Result.LongestRetry = [this] { return Core.longestStoreRetry(); };
   return Result;
 }
 
--- a/daemon/table_follower.cpp
+++ b/daemon/table_follower.cpp
@@ -3,6 +3,7 @@
 #include "net/asio.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace mimosacart {
 
@@ -14,8 +15,10 @@
 constexpr Duration StandbyWait = std::chrono::seconds(8);
 /// Changes that come soon after one another are fetched together.
 constexpr Duration GatherTime = std::chrono::milliseconds(150);
-constexpr Duration FirstRetry = std::chrono::milliseconds(100);
-constexpr Duration LastRetry = std::chrono::milliseconds(800);
+/// The first retry comes after this part of the longest pause.
+constexpr int FirstRetryPart = 8;
+/// A host that has never read the table cannot serve, so it asks often.
+constexpr Duration LongestFirstRead = std::chrono::milliseconds(800);
 /// Retries are spread over this part of their delay.
 constexpr double RetrySpread = 0.5;
 
@@ -74,7 +77,7 @@
     Log.info("store_read_is_old", {{"table", Table},
                                    {"version", std::to_string(PagesVersion)},
                                    {"known", std::to_string(Before)}});
-    later(FirstRetry, [this] { readFrom(""); });
+    later(GatherTime, [this] { readFrom(""); });
     return;
   }
   Begun = true;
@@ -104,6 +107,7 @@
   if (Waiting)
     Waiting->cancel();
   Waiting.reset();
+  JustTold = Mode == ReadMode::Close;
   if (Mode == ReadMode::Close)
     awaitChanges(Duration::zero());
   else if (Mode == ReadMode::None)
@@ -140,7 +144,9 @@
   noteAnswered();
   const StoreRows &Changes = Result.value();
   Use.Changed(Changes.Rows, Changes.Version);
-  if (Changes.Rows.empty())
+  // The first answer may be all that was needed.
+  const bool MayBeEnough = std::exchange(JustTold, false);
+  if (Changes.Rows.empty() && !MayBeEnough)
     proceed();
   else
     later(GatherTime, [this] { proceed(); });
@@ -153,10 +159,11 @@
                              {"known", std::to_string(Use.Known())}});
     Use.Lost();
   }
-  Duration Pause = FirstRetry;
-  for (unsigned Step = 1; Step < Failures && Pause < LastRetry; ++Step)
+  const Duration Longest = Begun ? Use.LongestRetry() : LongestFirstRead;
+  Duration Pause = Longest / FirstRetryPart;
+  for (unsigned Step = 1; Step < Failures && Pause < Longest; ++Step)
     Pause *= 2;
-  Pause = std::min(Pause, LastRetry);
+  Pause = std::min(Pause, Longest);
   const double Spread =
       std::uniform_real_distribution<double>(0, RetrySpread)(Random);
   Pause += scaled(Pause, Spread);
--- a/daemon/table_follower.h
+++ b/daemon/table_follower.h
@@ -36,6 +36,8 @@
     std::function<void()> Regained;
     /// Version up to which the table is known, also from peers.
     std::function<std::uint64_t()> Known;
+    /// Pause between calls to a store that does not answer.
+    std::function<Duration()> LongestRetry;
   };
 
   TableFollower(boost::asio::io_context &Context, StoreClient &Store,
@@ -75,6 +77,8 @@
   /// The table was read whole once.
   bool Begun = false;
   bool ReadingWhole = false;
+  /// Nothing was answered since it was told to follow closely.
+  bool JustTold = false;
   ReadMode Mode = ReadMode::None;
   unsigned Failures = 0;
   std::uint64_t Calls = 0;
--- a/direct/direct_node.h
+++ b/direct/direct_node.h
@@ -98,6 +98,8 @@
   }
   /// Place of this host among those that read the store for the others.
   std::size_t rank() const { return Fleet.rank(); }
+  /// Pause between calls to a store that does not answer.
+  Duration longestStoreRetry() const { return Fleet.longestStoreRetry(); }
   std::uint64_t configurationVersion() const {
     return Routes ? Configuration->Version : 0;
   }
--- a/direct/fleet_view.h
+++ b/direct/fleet_view.h
@@ -63,6 +63,7 @@
   void onConfirmed(Instant Now, StoreTable Table, bool Changed,
                    std::uint64_t Before);
   std::size_t rank() const { return Relay.rank(); }
+  Duration longestStoreRetry() const { return Relay.longestRetry(); }
 
 private:
   Membership::Hooks membershipHooks();
--- a/direct/table_relay.cpp
+++ b/direct/table_relay.cpp
@@ -78,6 +78,10 @@
   }
 }
 
+Duration TableRelay::longestRetry() const {
+  return Rank < Times.FirstToRetry ? Times.RetryOfFirst : Times.RetryOfOthers;
+}
+
 TableVersions TableRelay::versions() const {
   return {Tables.at(StoreTable::Routes).Mirror->newest(),
           Tables.at(StoreTable::Servers).Mirror->newest()};
@@ -124,6 +128,15 @@
   decide(Now);
 }
 
+Duration TableRelay::patience() const {
+  if (Rank < Readers)
+    return Times.StandInAfter;
+  const std::size_t Step = std::min<std::size_t>(Rank, Others.size());
+  return Times.ReadAfter + Times.ReadSpread * static_cast<Duration::rep>(Step) /
+                               static_cast<Duration::rep>(
+                                   std::max<std::size_t>(1, Others.size()));
+}
+
 void TableRelay::decide(Instant Now) {
   if (!StartedAt)
     return;
@@ -134,22 +147,16 @@
     setMode(ReadMode::Close, "reader");
     return;
   }
-  const bool IsStandIn = Rank < Readers;
-  const std::size_t Step = std::min<std::size_t>(Rank, Others.size());
-  const Duration Spread =
-      Times.ReadSpread * static_cast<Duration::rep>(Step) /
-      static_cast<Duration::rep>(std::max<std::size_t>(1, Others.size()));
-  const Duration Patience =
-      IsStandIn ? Times.StandInAfter : Times.ReadAfter + Spread;
-  const bool Told = confirmedSince(Now - Patience);
+  // At the start, what was read counts until a reader had time for its word.
+  const bool Told = confirmedSince(Now - patience()) ||
+                    Now - *StartedAt < Times.FindPeers + patience();
   if (!Told || behind(Now)) {
-    if (!Told)
-      ReadUntil = Now + Times.ReadAtLeast;
     setMode(ReadMode::Close, Told ? "behind" : "not_told");
     return;
   }
   if (Now >= ReadUntil)
-    setMode(IsStandIn ? ReadMode::Standby : ReadMode::None, "told_by_reader");
+    setMode(Rank < Readers ? ReadMode::Standby : ReadMode::None,
+            "told_by_reader");
 }
 
 void TableRelay::setMode(ReadMode Next, const char *Why) {
@@ -166,6 +173,8 @@
 void TableRelay::onConfirmed(Instant Now, StoreTable Table, bool Changed,
                              std::uint64_t Before) {
   State &Of = Tables.at(Table);
+  if (!confirmedSince(Now - patience()))
+    ReadUntil = Now + Times.ReadAtLeast;
   Of.ConfirmedAt = Now;
   if (Mode == ReadMode::None)
     return;
--- a/direct/table_relay.h
+++ b/direct/table_relay.h
@@ -17,7 +17,7 @@
 struct RelayTimes {
   /// A host that learns that it is behind reads the store unless the rows come
   /// within this time.
-  Duration ReadWhenBehindFor = std::chrono::milliseconds(300);
+  Duration ReadWhenBehindFor = std::chrono::milliseconds(450);
   /// If that does not help for this long, it asks the peer that is ahead.
   Duration AskAfter = std::chrono::milliseconds(800);
   /// Rows of more bytes than this are not sent to all: one host's link would
@@ -31,8 +31,13 @@
   Duration StandInAfter = std::chrono::milliseconds(1150);
   /// Hosts that begin to read for that reason are spread over this time.
   Duration ReadSpread = std::chrono::milliseconds(200);
-  /// Such a host goes on reading for this long.
+  /// A host whose own reading made up for that goes on for this long.
   Duration ReadAtLeast = std::chrono::seconds(2);
+  /// Pauses between calls to a store that does not answer, for the first hosts
+  /// by rank and for the others.
+  Duration RetryOfFirst = std::chrono::milliseconds(800);
+  Duration RetryOfOthers = std::chrono::seconds(2);
+  std::size_t FirstToRetry = 8;
   /// Time from the start in which peers are found.
   Duration FindPeers = std::chrono::milliseconds(1200);
 };
@@ -89,6 +94,10 @@
   ReadMode mode() const { return Mode; }
   /// This host's place among all of its group; the first ones are readers.
   std::size_t rank() const { return Rank; }
+  /// Pause between calls of this host to a store that does not answer. Some
+  /// hosts ask often and tell the others as soon as it is back; these ask too,
+  /// since they may be the only ones that it answers.
+  Duration longestRetry() const;
   TableVersions versions() const;
 
 private:
@@ -111,6 +120,8 @@
   void noteAhead(Instant Now, State &Of, const HostName &From,
                  std::uint64_t Version);
   void decide(Instant Now);
+  /// Time without a word after which this host reads the store itself.
+  Duration patience() const;
   void setMode(ReadMode Next, const char *Why);
   bool confirmedSince(Instant Since) const;
   bool behind(Instant Now) const;
--- a/tests/daemon/table_follower_test.cpp
+++ b/tests/daemon/table_follower_test.cpp
@@ -30,6 +30,7 @@
     Use.Lost = [this] { ++Losses; };
     Use.Regained = [this] { ++Returns; };
     Use.Known = [this] { return Known; };
+    Use.LongestRetry = [this] { return LongestRetry; };
     Follower = std::make_unique<TableFollower>(Context, *Client, "t", Log, Use);
   }
 
@@ -62,6 +63,7 @@
   std::unique_ptr<TableFollower> Follower;
   Table Rows;
   std::uint64_t Known = 0;
+  Duration LongestRetry = 800ms;
   unsigned WholeReads = 0;
   unsigned Losses = 0;
   unsigned Returns = 0;
@@ -144,6 +146,30 @@
   EXPECT_EQ(Store.calls(), Before);
 }
 
+TEST_F(TableFollowerTest, follow_noLongerNeededAfterTheAnswer_asksOnce) {
+  Follower->start();
+  run(100ms);
+  const std::size_t Before = Store.calls();
+  Follower->follow(ReadMode::Close);
+  run(60ms);
+  Follower->follow(ReadMode::None);
+  run(300ms);
+  EXPECT_EQ(Store.calls(), Before + 1);
+}
+
+TEST_F(TableFollowerTest, follow_storeRefuses_retriesAsSeldomAsTold) {
+  LongestRetry = 2s;
+  Follower->start();
+  run(100ms);
+  Store.setMood(StoreMood::Refusing);
+  Follower->follow(ReadMode::Close);
+  run(1s);
+  const std::size_t Before = Store.calls();
+  run(6s);
+  EXPECT_LE(Store.calls(), Before + 4);
+  EXPECT_GE(Store.calls(), Before + 2);
+}
+
 TEST_F(TableFollowerTest, start_severalPages_readsThemAll) {
   Table Wanted = {{"a", "1"}};
   for (const char *Key : {"b", "c&d=e", "f%20g", "h i"}) {
--- a/tests/direct/table_relay_test.cpp
+++ b/tests/direct/table_relay_test.cpp
@@ -215,6 +215,55 @@
   EXPECT_EQ(Follower.Mode, ReadMode::Close);
 }
 
+TEST_F(TableRelayTest, longestRetry_manyHosts_onlySomeAskOften) {
+  std::vector<MemberRecord> Many;
+  for (unsigned Number = 0; Number < 56; ++Number) {
+    MemberRecord Member;
+    Member.Host = HostName("host-" + std::to_string(Number));
+    Many.push_back(Member);
+  }
+  double AsksPerSecond = 0;
+  for (auto &[Name, Each] : Hosts) {
+    Each.Relay->setMembers(Many);
+    const Duration Retry = Each.Relay->longestRetry();
+    EXPECT_LE(Retry, 2s) << Name.value();
+    EXPECT_EQ(Retry < 1s, Each.Relay->rank() < 8) << Name.value();
+  }
+  for (unsigned Rank = 0; Rank < Many.size(); ++Rank)
+    AsksPerSecond += 1 / toSeconds(Rank < 8 ? 800ms : 2000ms);
+  EXPECT_LT(AsksPerSecond, 40);
+}
+
+TEST_F(TableRelayTest, tick_start_readersWordIsWaitedFor) {
+  std::size_t Most = 0;
+  for (unsigned Step = 0; Step < 60; ++Step) {
+    pass(50ms);
+    Most = std::max(Most, count(ReadMode::Close));
+  }
+  EXPECT_EQ(Most, 1U);
+}
+
+TEST_F(TableRelayTest, tick_startWithoutReader_oneOfTheOthersReadsWithin3s) {
+  ranked(0).Cut = true;
+  ranked(1).Cut = true;
+  pass(3s);
+  // The first of them that reads tells the others.
+  EXPECT_TRUE(ranked(2).Mode == ReadMode::Close ||
+              ranked(3).Mode == ReadMode::Close ||
+              ranked(4).Mode == ReadMode::Close);
+}
+
+TEST_F(TableRelayTest, tick_storeBack_hostsSoonLeaveItToTheReaders) {
+  pass(6s);
+  StoreAnswers = false;
+  pass(5s);
+  ASSERT_EQ(count(ReadMode::Close), Hosts.size());
+  StoreAnswers = true;
+  pass(1500ms);
+  // The reader, and the one that found the store back if that is another.
+  EXPECT_LE(count(ReadMode::Close), 2U);
+}
+
 TEST_F(TableRelayTest, onConfirmed_largeRow_isReadFromTheStoreByAll) {
   pass(3s);
   Stored = {"config", 7, false, std::string(100'000, 'x')};
