--- a/daemon/direct_metrics.cpp
+++ b/daemon/direct_metrics.cpp
@@ -10,6 +10,9 @@
 
 const prometheus::Histogram::BucketBoundaries TotalBuckets = {
     0.005, 0.01, 0.025, 0.05, 0.1, 0.2, 0.3, 0.4, 0.6, 0.8, 1.2, 2, 4, 8};
+const prometheus::Histogram::BucketBoundaries AddedBuckets = {
+    0.0001, 0.0002, 0.0005, 0.001, 0.002, 0.003, 0.005,
+    0.01,   0.02,   0.05,   0.1,   0.2,   0.5};
 
 } // namespace
 
@@ -22,6 +25,10 @@
                   .Name("mimosacart_request_seconds")
                   .Help("Time from arrival to answer")
                   .Register(Registry)),
+      Added(prometheus::BuildHistogram()
+                .Name("mimosacart_added_seconds")
+                .Help("The part of it in which no server had the request")
+                .Register(Registry)),
       State(prometheus::BuildGauge()
                 .Name("mimosacart_state")
                 .Help("Numbers that go up and down, by name")
@@ -40,6 +47,10 @@
       .Add({{"service", Result.Service.value()}, {"kind", Result.Route}},
            TotalBuckets)
       .Observe(toSeconds(Result.Total));
+  Added
+      .Add({{"service", Result.Service.value()}, {"kind", Result.Route}},
+           AddedBuckets)
+      .Observe(toSeconds(Result.Added));
 }
 
 std::string DirectMetrics::render(const DirectNode &Core,
--- a/daemon/direct_metrics.h
+++ b/daemon/direct_metrics.h
@@ -31,6 +31,7 @@
   prometheus::Registry Registry;
   prometheus::Family<prometheus::Counter> &Requests;
   prometheus::Family<prometheus::Histogram> &Seconds;
+  prometheus::Family<prometheus::Histogram> &Added;
   prometheus::Family<prometheus::Gauge> &State;
 };
 
--- a/direct/flow_events.h
+++ b/direct/flow_events.h
@@ -53,7 +53,11 @@
   ServiceName Service;
   ServerName Server;
   unsigned Arrivals = 0;
+  /// From arrival to the end.
   Duration Total{};
+  /// The part of it in which no server had the request: probes, holding, our
+  /// own work.
+  Duration Added{};
 };
 
 /// Numbers for metrics.
--- a/direct/request_flow.cpp
+++ b/direct/request_flow.cpp
@@ -93,6 +93,8 @@
                : Of.OpenCalls.empty() ? "repeat"
                                       : "hedge"}});
   Calls[Id] = std::move(Call);
+  if (Of.OpenCalls.empty())
+    Of.CallsOpenSince = Now;
   Of.OpenCalls.insert(Id);
   Of.Tried.insert(Server.Id);
   ++Of.Arrivals;
@@ -117,6 +119,8 @@
     return;
   Flow &Of = Owner->second;
   Of.OpenCalls.erase(Id);
+  if (Of.OpenCalls.empty())
+    Of.WithServers += Now - Of.CallsOpenSince;
   if (Result.End == CallEnd::Answered)
     onAnswer(Now, Of, Call, Result.Answer);
   else
@@ -264,6 +268,9 @@
 void RequestFlow::end(Instant Now, Flow &Of, AnswerPtr Reply,
                       const ServerName &Server, Refusal Refused) {
   const RequestId Id = Of.Request.Id;
+  if (!Of.OpenCalls.empty())
+    Of.WithServers += Now - Of.CallsOpenSince;
+  const Duration Total = Now - Of.Request.Arrived;
   FlowResult Result{Id,
                     std::move(Reply),
                     Refused,
@@ -271,14 +278,16 @@
                     Of.Request.Service.Name,
                     Server,
                     Of.Arrivals,
-                    Now - Of.Request.Arrived};
+                    Total,
+                    Total - Of.WithServers};
   log("reply", Of,
       {{"server", Server.value()},
        {"status", Result.Reply ? std::to_string(Result.Reply->Status) : "none"},
        {"outcome", Result.Reply ? "answered" : toString(Refused.What)},
        {"reason", toString(Refused.Why)},
        {"arrivals", std::to_string(Of.Arrivals)},
-       {"total_ms", toMsText(Result.Total)}});
+       {"total_ms", toMsText(Result.Total)},
+       {"added_us", std::to_string(Result.Added.count())}});
   Timers.erase({Of.Wake, Id});
   Flows.erase(Id);
   Use.Finished(Result);
--- a/direct/request_flow.h
+++ b/direct/request_flow.h
@@ -102,6 +102,9 @@
     /// Probes whose answers the choice waits for.
     std::set<CallId> OpenProbes;
     std::set<CallId> OpenCalls;
+    /// Time in which calls were open, but for those that are open now.
+    Duration WithServers{};
+    Instant CallsOpenSince{};
     /// Calls that reached a server or may have.
     unsigned Arrivals = 0;
     unsigned ProbeRounds = 0;
--- a/tests/direct/request_flow_test.cpp
+++ b/tests/direct/request_flow_test.cpp
@@ -45,6 +45,22 @@
   EXPECT_EQ(Use.openCalls().size(), 1U);
 }
 
+TEST_F(RequestFlowTest, end_probesAndRepeat_addedIsTheTimeWithoutAServer) {
+  const RequestId Id = Use.start();
+  Use.pass(3ms);
+  Use.answerProbes(Idle);
+  Use.pass(100ms);
+  Use.answer(firstServer(), 500);
+  Use.pass(2ms);
+  Use.answerProbes(Idle);
+  ASSERT_EQ(Use.openCalls().size(), 1U);
+  Use.pass(50ms);
+  Use.answer(firstServer(), 200);
+  ASSERT_TRUE(Use.ended(Id));
+  EXPECT_EQ(Use.result(Id).Total, 155ms);
+  EXPECT_EQ(Use.result(Id).Added, 5ms);
+}
+
 TEST_F(RequestFlowTest, start_allSlowed_takesTheBestInTheEnd) {
   Use.tellLoad("a");
   Use.start();
