Let the second reader send the rows that the first one does not

Cause: only the first reader sent changed rows. Ruled out: rows too large to be sent (4 of them, 1 KB), versions no longer kept, lost messages between hosts. Change: rows that the second reader learnt from the store are sent by it after 200 ms unless the first one's word came by then. Tests: onConfirmed_readerWithoutStore_standInSendsTheRows, failing before; onConfirmed_readerSentTheRows_standInDoesNot.

--- a/direct/table_relay.cpp
+++ b/direct/table_relay.cpp
@@ -120,6 +120,10 @@
     StartedAt = Now;
   for (auto &[Table, Of] : Tables) {
     noteProgress(Of);
+    if (Of.OwedAt && Now >= *Of.OwedAt) {
+      Of.OwedAt.reset();
+      tellOthers(Now, Table, Of, Of.OwedAfter);
+    }
     if (!Of.Ahead || Now < Of.AskAt)
       continue;
     Of.AskAt = Now + Times.AskAfter * 2;
@@ -180,9 +184,18 @@
     return;
   // One reader sends the rows; the others are asked if these are lost.
   const bool SendRows = Changed && Rank == 0;
-  TableRows News =
-      Of.Mirror->rowsAfter(Table, SendRows ? Before : Of.Mirror->newest());
-  News.ConfirmedAgo = Duration::zero();
+  tellOthers(Now, Table, Of, SendRows ? Before : Of.Mirror->newest());
+  if (Changed && Rank == 1 && Before < Of.Mirror->newest() && !Of.OwedAt) {
+    Of.OwedAt = Now + Times.StandInSendsAfter;
+    Of.OwedAfter = Before;
+  }
+}
+
+void TableRelay::tellOthers(Instant Now, StoreTable Table, const State &Of,
+                            std::uint64_t After) {
+  TableRows News = Of.Mirror->rowsAfter(Table, After);
+  if (Of.ConfirmedAt)
+    News.ConfirmedAgo = Now - *Of.ConfirmedAt;
   if (bytesOf(News.Rows) > Times.MaxNewsBytes) {
     News.Rows.clear();
     News.After = News.UpTo;
@@ -230,6 +243,9 @@
 void TableRelay::onRows(Instant Now, const HostName &From,
                         const TableRows &Message, Duration Delay) {
   State &Of = Tables.at(Message.Table);
+  const bool FromReader = !Others.empty() && From == Others.front();
+  if (FromReader && Message.UpTo >= Of.Mirror->newest())
+    Of.OwedAt.reset();
   // Rows that follow on versions unknown here would leave a gap.
   const bool Follows =
       Message.Whole || Message.After <= knownVersion(*Of.Mirror);
--- a/direct/table_relay.h
+++ b/direct/table_relay.h
@@ -26,6 +26,9 @@
   /// A host that nobody confirmed to be up to date for this long reads the
   /// store itself.
   Duration ReadAfter = std::chrono::milliseconds(1500);
+  /// The second reader sends rows that it learnt itself unless the first one,
+  /// which may have lost the store, sends them within this time.
+  Duration StandInSendsAfter = std::chrono::milliseconds(200);
   /// The second reader asks the store more often if it was not told so for
   /// this long.
   Duration StandInAfter = std::chrono::milliseconds(1150);
@@ -115,10 +118,18 @@
     /// for once it came.
     std::uint64_t AwaitedVersion = 0;
     Instant BehindSince{};
+    /// Set while the first reader is expected to send what changed after
+    /// OwedAfter.
+    std::optional<Instant> OwedAt;
+    std::uint64_t OwedAfter = 0;
   };
 
   void noteAhead(Instant Now, State &Of, const HostName &From,
                  std::uint64_t Version);
+  /// Vouches to the other hosts for what is known, and sends them the rows
+  /// that changed after \p After.
+  void tellOthers(Instant Now, StoreTable Table, const State &Of,
+                  std::uint64_t After);
   void decide(Instant Now);
   /// Time without a word after which this host reads the store itself.
   Duration patience() const;
--- a/tests/direct/table_relay_test.cpp
+++ b/tests/direct/table_relay_test.cpp
@@ -91,6 +91,13 @@
     Reader.Relay->onConfirmed(Now, StoreTable::Servers, false, 0);
   }
 
+  /// The store tells a reader of a change that is not asked for otherwise.
+  void learnFromStore(Host &Reader, std::uint64_t Version) {
+    const std::uint64_t Before = Reader.Routes.newest();
+    Reader.Routes.apply({{"config", Version, false, "next"}}, Version);
+    Reader.Relay->onConfirmed(Now, StoreTable::Routes, true, Before);
+  }
+
   std::size_t count(ReadMode Mode) const {
     return static_cast<std::size_t>(
         std::count_if(Hosts.begin(), Hosts.end(), [Mode](const auto &Entry) {
@@ -264,6 +271,29 @@
   EXPECT_LE(count(ReadMode::Close), 2U);
 }
 
+TEST_F(TableRelayTest, onConfirmed_readerWithoutStore_standInSendsTheRows) {
+  pass(6s);
+  learnFromStore(ranked(1), 7);
+  for (unsigned Rank = 2; Rank < 5; ++Rank)
+    ranked(Rank).Relay->onVersions(Now, HostName("host-0"), {7, 0});
+  pass(350ms);
+  for (auto &[Name, Each] : Hosts)
+    EXPECT_EQ(Each.Rows["config"], "next") << Name.value();
+  pass(300ms);
+  for (unsigned Rank = 2; Rank < 5; ++Rank)
+    EXPECT_EQ(ranked(Rank).Mode, ReadMode::None) << Rank;
+}
+
+TEST_F(TableRelayTest, onConfirmed_readerSentTheRows_standInDoesNot) {
+  pass(6s);
+  std::size_t Sent = 0;
+  OnRows = [&Sent](const TableRows &News) { Sent += News.Rows.size(); };
+  learnFromStore(ranked(1), 7);
+  learnFromStore(ranked(0), 7);
+  pass(500ms);
+  EXPECT_EQ(Sent, Hosts.size() - 1);
+}
+
 TEST_F(TableRelayTest, onConfirmed_largeRow_isReadFromTheStoreByAll) {
   pass(3s);
   Stored = {"config", 7, false, std::string(100'000, 'x')};
