Share what the change wrote twice, and skip scans that find nothing

Read over the whole change: textPage stood in admin_pages.cpp and again in direct_host_process.cpp, now in daemon/text_page.h; TableRelay put together rows and how far it vouches for them in two places, now newsOf. TableMirror scanned all rows at each answer of the store, also when nothing changed: rowsAfter ends at once then, and removals are counted only after a change.

--- a/daemon/admin_pages.cpp
+++ b/daemon/admin_pages.cpp
@@ -1,6 +1,7 @@
 /// \file
 /// The admin address of an entry host: health, metrics, status, explain.
 #include "daemon/entry_host_process.h"
+#include "daemon/text_page.h"
 
 #include <nlohmann/json.hpp>
 
@@ -19,11 +20,6 @@
   return {StatusOk, {{"Content-Type", "application/json"}}, Value.dump()};
 }
 
-HttpResponse textPage(unsigned Status, std::string Text) {
-  return {
-      Status, {{"Content-Type", "text/plain; version=0.0.4"}}, std::move(Text)};
-}
-
 Json toJson(const MemberRecord &Member) {
   return {
       {"host", Member.Host.value()},     {"status", toString(Member.Status)},
--- a/daemon/direct_host_process.cpp
+++ b/daemon/direct_host_process.cpp
@@ -1,5 +1,6 @@
 #include "daemon/direct_host_process.h"
 
+#include "daemon/text_page.h"
 #include "net/asio.h"
 #include "platform/documents.h"
 #include "platform/exchanges.h"
@@ -87,11 +88,6 @@
   return To;
 }
 
-HttpResponse textPage(unsigned Status, std::string Text) {
-  return {
-      Status, {{"Content-Type", "text/plain; version=0.0.4"}}, std::move(Text)};
-}
-
 } // namespace
 
 struct DirectHostProcess::Timers {
--- a/direct/table_mirror.cpp
+++ b/direct/table_mirror.cpp
@@ -17,7 +17,9 @@
   for (const TableRow &Row : Changes)
     take(Row);
   Version = std::max(Version, UpTo);
-  forgetOldRemovals();
+  // Most answers of the store bring nothing.
+  if (!Changes.empty())
+    forgetOldRemovals();
 }
 
 bool TableMirror::replace(const std::vector<TableRow> &All,
@@ -72,6 +74,8 @@
   Result.Table = Table;
   Result.After = After;
   Result.UpTo = Newest;
+  if (After >= Newest)
+    return Result;
   Result.Whole = After < RemovalsSince;
   for (const auto &[Key, Row] : Rows) {
     const bool Wanted = Result.Whole ? !Row.Removed : Row.Version > After;
--- a/direct/table_relay.cpp
+++ b/direct/table_relay.cpp
@@ -191,11 +191,17 @@
   }
 }
 
-void TableRelay::tellOthers(Instant Now, StoreTable Table, const State &Of,
-                            std::uint64_t After) {
+TableRows TableRelay::newsOf(Instant Now, StoreTable Table, const State &Of,
+                             std::uint64_t After) {
   TableRows News = Of.Mirror->rowsAfter(Table, After);
   if (Of.ConfirmedAt)
     News.ConfirmedAgo = Now - *Of.ConfirmedAt;
+  return News;
+}
+
+void TableRelay::tellOthers(Instant Now, StoreTable Table, const State &Of,
+                            std::uint64_t After) {
+  TableRows News = newsOf(Now, Table, Of, After);
   if (bytesOf(News.Rows) > Times.MaxNewsBytes) {
     News.Rows.clear();
     News.After = News.UpTo;
@@ -234,10 +240,7 @@
 void TableRelay::onRequest(Instant Now, const HostName &From,
                            const TableRequest &Message) {
   const State &Of = Tables.at(Message.Table);
-  TableRows Rows = Of.Mirror->rowsAfter(Message.Table, Message.After);
-  if (Of.ConfirmedAt)
-    Rows.ConfirmedAgo = Now - *Of.ConfirmedAt;
-  Use.Send(From, std::move(Rows));
+  Use.Send(From, newsOf(Now, Message.Table, Of, Message.After));
 }
 
 void TableRelay::onRows(Instant Now, const HostName &From,
--- a/direct/table_relay.h
+++ b/direct/table_relay.h
@@ -126,6 +126,9 @@
 
   void noteAhead(Instant Now, State &Of, const HostName &From,
                  std::uint64_t Version);
+  /// The rows that changed after \p After, vouched for as far as this host can.
+  static TableRows newsOf(Instant Now, StoreTable Table, const State &Of,
+                          std::uint64_t After);
   /// Vouches to the other hosts for what is known, and sends them the rows
   /// that changed after \p After.
   void tellOthers(Instant Now, StoreTable Table, const State &Of,
