Take usual times only from servers that were neither slow nor busy

Cause: the usual time of a route was learnt from every answer, divided by the server's slowness alone. Ruled out: slowness figures (100 on nearly all sends). Change: only calls to servers with fresh figures that were expected to be about as fast as usual count, divided by the whole factor expected; log lines tell the expected time, not the cost by which servers are ranked. Test: start_afterOverload_expectsTheUsualTimeAgain.

--- a/direct/request_flow.cpp
+++ b/direct/request_flow.cpp
@@ -75,17 +75,20 @@
   const ServerKnowledge *Known = Board.find(Server.Id);
   const CallId Id(++LastCall);
   OpenCall Call{Of.Request.Id,          Server.Id, Of.Request.Route.Name,
-                Of.Request.Fingerprint, Now,       100};
+                Of.Request.Fingerprint, Now,       std::nullopt};
+  if (To.Fresh && To.Good)
+    Call.GoodFactor = To.Factor;
   std::string Age = "none";
+  std::string Slowness = "none";
   if (Known && Known->Figures) {
-    Call.SlownessPercent = Known->Figures->SlownessPercent;
+    Slowness = std::to_string(Known->Figures->SlownessPercent);
     Age = toMsText(Now - Known->FiguresAt);
   }
   log("send", Of,
       {{"call", std::to_string(Id.value())},
        {"server", Server.Id.value()},
-       {"expected_ms", toMsText(To.Cost)},
-       {"slowness", std::to_string(Call.SlownessPercent)},
+       {"expected_ms", toMsText(To.Expected)},
+       {"slowness", Slowness},
        {"figures_age_ms", Age},
        {"candidates", std::to_string(Of.Probed.size())},
        {"remaining_ms", toMsText(Remaining)},
@@ -144,9 +147,16 @@
   else if (Answer.Reply->Status >= StatusServerError)
     Board.noteFailure(Now, Call.Server, 1);
   else
-    Times.note(Call.Route, Now - Call.StartedAt,
-               std::max(Call.SlownessPercent,
-                        Answer.Load ? Answer.Load->SlownessPercent : 0));
+    noteUsualTime(Now, Call, Answer);
+}
+
+/// A server that slowed down meanwhile says nothing of the usual time.
+void RequestFlow::noteUsualTime(Instant Now, const OpenCall &Call,
+                                const ServerAnswer &Answer) {
+  const bool Slowed =
+      Answer.Load && Answer.Load->SlownessPercent > UsualSlownessPercent;
+  if (Call.GoodFactor && !Slowed)
+    Times.note(Call.Route, Now - Call.StartedAt, *Call.GoodFactor);
 }
 
 void RequestFlow::onAnswer(Instant Now, Flow &Of, const OpenCall &Call,
--- a/direct/request_flow.h
+++ b/direct/request_flow.h
@@ -12,6 +12,7 @@
 
 #include <functional>
 #include <map>
+#include <optional>
 #include <set>
 #include <unordered_map>
 
@@ -130,7 +131,9 @@
     std::string Route;
     std::uint64_t Fingerprint = 0;
     Instant StartedAt{};
-    unsigned SlownessPercent = 100;
+    /// Expected time as a multiple of the usual one, if the figures behind it
+    /// were fresh and the server neither slow nor busy.
+    std::optional<double> GoodFactor;
   };
   struct OpenProbe {
     ServerName Server;
@@ -159,6 +162,8 @@
   void onLost(Instant Now, Flow &Of, const OpenCall &Call, CallEnd End);
   void noteResult(Instant Now, const OpenCall &Call,
                   const ServerCallResult &Result);
+  void noteUsualTime(Instant Now, const OpenCall &Call,
+                     const ServerAnswer &Answer);
   /// Tries another server if that is allowed, else ends the request unless
   /// another call is open.
   void repeatOrEnd(Instant Now, Flow &Of);
--- a/direct/server_messages.h
+++ b/direct/server_messages.h
@@ -34,13 +34,16 @@
                          const DiscoveredServer &) = default;
 };
 
+/// How long work takes on a server that nothing slows down, in per cent.
+inline constexpr unsigned UsualSlownessPercent = 100;
+
 /// Load of a server at the moment of its answer.
 struct LoadFigures {
   unsigned Running = 0;
   unsigned Waiting = 0;
   unsigned Slots = 1;
-  /// How long work takes there now; 100 is as usual.
-  unsigned SlownessPercent = 100;
+  /// How long work takes there now.
+  unsigned SlownessPercent = UsualSlownessPercent;
 
   friend bool operator==(const LoadFigures &, const LoadFigures &) = default;
 };
--- a/direct/server_ranking.cpp
+++ b/direct/server_ranking.cpp
@@ -6,7 +6,6 @@
 
 namespace {
 
-constexpr double UsualSlowness = 100;
 /// A server that has this many requests waiting for each slot is full.
 constexpr unsigned FullWaitingPerSlot = 1;
 
@@ -46,7 +45,8 @@
   if (Silent)
     Factor = 1;
   else if (Known)
-    Factor = Of.Figures->SlownessPercent / UsualSlowness;
+    Factor = static_cast<double>(Of.Figures->SlownessPercent) /
+             UsualSlownessPercent;
   const unsigned Slots = std::max(1U, Server.Slots);
   unsigned Busy = Of.InFlight;
   if (Known)
@@ -62,6 +62,7 @@
   Result.Full = Busy >= Slots * (1 + FullWaitingPerSlot);
   Result.Good = (Known || Silent) && Factor <= Policy.GoodFactor &&
                 Busy < Slots && Failures < 0.5 && !Of.Unhealthy;
+  Result.Factor = Factor;
   Result.Expected = scaled(Usual, Factor);
   Result.Cost = Result.Expected + scaled(Policy.FailureCost, Failures);
   if (Server.DataCentre != DataCentre)
--- a/direct/server_ranking.h
+++ b/direct/server_ranking.h
@@ -39,8 +39,9 @@
 /// A server with what is expected of it.
 struct RankedServer {
   const DiscoveredServer *Server = nullptr;
-  /// Expected time to the answer.
+  /// Expected time to the answer, also as a multiple of the usual time.
   Duration Expected{};
+  double Factor = 1;
   /// Expected time with the costs of the policy.
   Duration Cost{};
   /// Time since the server told its load; the greatest value if it did not.
--- a/direct/usual_times.cpp
+++ b/direct/usual_times.cpp
@@ -11,14 +11,12 @@
 constexpr double MaxSampleFactor = 2;
 /// Objectives leave this much room for the usual time.
 constexpr double UnknownShareOfObjective = 0.35;
-constexpr unsigned UsualSlowness = 100;
 
 } // namespace
 
 void UsualTimes::note(const std::string &Route, Duration Time,
-                      unsigned SlownessPercent) {
-  const double Sample = static_cast<double>(Time.count()) * UsualSlowness /
-                        std::max(SlownessPercent, UsualSlowness);
+                      double Factor) {
+  const double Sample = static_cast<double>(Time.count()) / Factor;
   const auto [Place, Added] = Microseconds.try_emplace(Route, Sample);
   if (Added)
     return;
--- a/direct/usual_times.h
+++ b/direct/usual_times.h
@@ -1,5 +1,6 @@
 /// \file
-/// How long the work of each route takes on a server that is not slowed.
+/// How long the work of each route takes on a server that is neither slow nor
+/// busy.
 #pragma once
 
 #include "core/ids.h"
@@ -10,12 +11,14 @@
 
 namespace mimosacart {
 
-/// Smoothed times by route, each divided by the slowness under which it was
-/// measured.
+/// Smoothed times by route. Only answers of servers that were expected to be
+/// about as fast as usual count: times under overload would raise what is
+/// expected of servers, and so keep requests waiting for no reason.
 class UsualTimes {
 public:
-  /// Takes a time that a server needed at \p SlownessPercent.
-  void note(const std::string &Route, Duration Time, unsigned SlownessPercent);
+  /// Takes a time that a server needed which was expected to need \p Factor
+  /// times the usual one.
+  void note(const std::string &Route, Duration Time, double Factor);
 
   /// The usual time; before the first answer a part of \p Objective.
   Duration usual(const std::string &Route, Duration Objective) const;
--- a/tests/direct/request_flow_test.cpp
+++ b/tests/direct/request_flow_test.cpp
@@ -10,6 +10,8 @@
 
 constexpr LoadFigures Idle{0, 0, 2, 100};
 constexpr LoadFigures Slowed{0, 0, 2, 700};
+constexpr LoadFigures HalfSpeed{0, 0, 2, 200};
+constexpr LoadFigures Crowded{2, 0, 2, 100};
 constexpr LoadFigures Busy{2, 4, 2, 100};
 
 class RequestFlowTest : public testing::Test {
@@ -76,6 +78,27 @@
   EXPECT_FALSE(Use.ended(Id));
 }
 
+TEST_F(RequestFlowTest, start_afterOverload_expectsTheUsualTimeAgain) {
+  Use.tellLoad("a");
+  Use.start();
+  Use.pass(100ms);
+  Use.answer("a", 200);
+  for (unsigned Count = 0; Count < 50; ++Count) {
+    Use.start();
+    Use.answerProbes(Crowded);
+    Use.pass(50ms);
+    Use.answerProbes(Crowded);
+    Use.pass(300ms);
+    Use.answer(firstServer(), 200);
+  }
+  // Twice the usual 100 ms fit the objective of 400 ms, so nothing is held.
+  Use.pass(1s);
+  Use.start();
+  Use.answerProbes(HalfSpeed);
+  Use.pass(50ms);
+  EXPECT_EQ(Use.openCalls().size(), 1U);
+}
+
 TEST_F(RequestFlowTest, start_probesUnanswered_sendsAnyway) {
   Use.start();
   Use.pass(100ms);
