Keep servers below the load at which they slow down; refuse what does not fit

Servers ran all slots at 1/1.7 of their speed, answers took 390 to 470 ms at the server, and nearly all of a second's requests were late, also those that could have been served in time. Ruled out: slowed servers (slowness 100 on all sends). Change: requests go only to servers with a free slot, and all but the most urgent leave the slots free beyond which the server slows its other work down. What finds no such place within the hold is refused as not run. Tests, failing first: start_serverNearFull_isLeftToUrgentRequests, start_queueAtEveryServer_isNotJoined.

--- a/direct/request_flow_choice.cpp
+++ b/direct/request_flow_choice.cpp
@@ -39,9 +39,12 @@
     setWake(Of);
     return;
   }
-  const auto Free =
-      std::find_if(Ranked.begin(), Ranked.end(),
-                   [](const RankedServer &Each) { return !Each.Full; });
+  // The most urgent requests may use what others leave free.
+  const bool Urgent = Of.Request.Route.Priority == 0;
+  const auto Free = std::find_if(Ranked.begin(), Ranked.end(),
+                                 [Urgent](const RankedServer &Each) {
+                                   return Urgent ? Each.Idle : Each.Roomy;
+                                 });
   if (Free != Ranked.end() && fitsObjective(Now, Of, *Free))
     send(Now, Of, *Free);
   else
--- a/direct/server_ranking.cpp
+++ b/direct/server_ranking.cpp
@@ -4,13 +4,6 @@
 
 namespace mimosacart {
 
-namespace {
-
-/// A server that has this many requests waiting for each slot is full.
-constexpr unsigned FullWaitingPerSlot = 1;
-
-} // namespace
-
 std::vector<RankedServer>
 ServerRanking::rank(Instant Now,
                     const std::vector<const DiscoveredServer *> &Servers,
@@ -52,14 +45,16 @@
   if (Known)
     Busy = std::max(Busy, Of.Figures->Running + Of.Figures->Waiting +
                               Of.StartedSince);
-  if (Busy + 1 > Policy.KneeShare * Slots && Slots > 2)
+  const bool BeyondKnee = Busy + 1 > Policy.KneeShare * Slots && Slots > 2;
+  if (BeyondKnee)
     Factor *= Policy.KneeFactor;
   if (Now < Of.WarmAt)
     Factor *= Policy.WarmUpFactor;
   if (Busy >= Slots)
     Factor *= 1 + static_cast<double>(Busy - Slots + 1) / Slots;
   const double Failures = LoadBoard::failures(Now, Of);
-  Result.Full = Busy >= Slots * (1 + FullWaitingPerSlot);
+  Result.Idle = Busy < Slots;
+  Result.Roomy = Result.Idle && !BeyondKnee;
   Result.Good = (Known || Silent) && Factor <= Policy.GoodFactor &&
                 Busy < Slots && Failures < 0.5 && !Of.Unhealthy;
   Result.Factor = Factor;
--- a/direct/server_ranking.h
+++ b/direct/server_ranking.h
@@ -50,8 +50,10 @@
   bool Fresh = false;
   /// The server is expected to answer about as fast as it usually does.
   bool Good = false;
-  /// The server has no room for another request.
-  bool Full = false;
+  /// A slot is free.
+  bool Idle = false;
+  /// One more request does not slow the server's others down.
+  bool Roomy = false;
 };
 
 /// Ranks candidates. \p Usual is the time that the work takes on a server
