Spread news of hosts and rows in batches, through one host of each other data centre

Ruled out: pings (20 kB a second in all), vouching news of the readers (6 kB). Change: what a host saw of members goes out together each 100 ms; beyond 12 peers news and rows go to the hosts of the own data centre and to one of each other one, which hands on what was news to it (SpreadPlan). Views that differ are compared by 32 buckets, at most each 800 ms, and only buckets that differ are told. A newcomer is told 24 members. Readers are the same two for all data centres (MaxGroup is gone). Found on the way: the first message to a peer was dropped while ZeroMQ connected, so that with fewer messages first pings failed and hosts suspected each other for 20 s. Messages now wait 300 ms for a first connection; sockets unused for 60 s are closed.

--- a/core/membership.cpp
+++ b/core/membership.cpp
@@ -21,6 +21,10 @@
 
 } // namespace
 
+std::size_t bucketOf(const HostName &Host, std::size_t Buckets) {
+  return stableHash(Host.value()) % Buckets;
+}
+
 bool overrides(const MemberRecord &Left, const MemberRecord &Right) {
   return rank(Left) > rank(Right);
 }
@@ -316,18 +320,30 @@
   return Result;
 }
 
-std::uint64_t Membership::digest() const {
-  std::uint64_t Result = 0;
-  for (const MemberRecord &Record : all()) {
+std::size_t Membership::reachable() const {
+  return static_cast<std::size_t>(
+      std::count_if(Members.begin(), Members.end(), [](const auto &Entry) {
+        return Entry.second.Record.Status <= MemberStatus::Suspect;
+      }));
+}
+
+std::uint64_t Membership::digest() const { return digests(1).front(); }
+
+std::vector<std::uint64_t> Membership::digests(std::size_t Buckets) const {
+  std::vector<std::uint64_t> Result(Buckets);
+  const auto Add = [&Result, Buckets](const MemberRecord &Record) {
     // Hosts forget departed ones at different times, which must not look like
     // a difference that another exchange could mend.
     if (Record.Status > MemberStatus::Suspect)
-      continue;
+      return;
     std::uint64_t One = stableHash(Record.Host.value(), Record.Life.value());
     One = stableHash(toString(Record.Status), One + Record.Refutation);
     // Addition makes the digest independent of the order of the records.
-    Result += One;
-  }
+    Result[bucketOf(Record.Host, Buckets)] += One;
+  };
+  Add(Self);
+  for (const auto &[Host, Known] : Members)
+    Add(Known.Record);
   return Result;
 }
 
--- a/core/membership.h
+++ b/core/membership.h
@@ -104,6 +104,8 @@
   std::vector<MemberRecord> all() const;
   /// Every record with the age of departed ones, as peers are told.
   std::vector<MemberRecord> shared(Instant Now) const;
+  /// Number of other hosts that may hear a broadcast.
+  std::size_t reachable() const;
   /// Hosts that take work: alive or suspect, not leaving, this host included
   /// unless it is leaving. Sorted by name.
   std::vector<MemberRecord> working() const;
@@ -111,6 +113,8 @@
   std::vector<MemberRecord> reachablePeers() const;
   /// Digest of the hosts that are there, equal on hosts with equal views.
   std::uint64_t digest() const;
+  /// The same apart for each of \p Buckets groups of hosts; see bucketOf().
+  std::vector<std::uint64_t> digests(std::size_t Buckets) const;
 
 private:
   struct Member {
@@ -154,6 +158,9 @@
   Instant NextPeriod{};
 };
 
+/// The one of \p Buckets groups that \p Host belongs to.
+std::size_t bucketOf(const HostName &Host, std::size_t Buckets);
+
 /// Whether \p Left overrides \p Right, both being records of one host.
 bool overrides(const MemberRecord &Left, const MemberRecord &Right);
 
--- a/core/node.h
+++ b/core/node.h
@@ -223,6 +223,7 @@
   /// Rows are handed on among hosts that follow the store only.
   void handle(const HostName &, const TableRequest &) {}
   void handle(const HostName &, const TableRows &) {}
+  void handle(const HostName &, const ViewSummary &) {}
 
   void compareState(const HostName &From, std::uint64_t Digest,
                     const std::optional<ConfigurationMark> &Mark);
--- a/core/peer_messages.cpp
+++ b/core/peer_messages.cpp
@@ -43,7 +43,8 @@
                "crash_report_ack",
                "attempt_answer_ack",
                "table_request",
-               "table_rows"};
+               "table_rows",
+               "view_summary"};
   return Names[Body.index()];
 }
 
--- a/core/peer_messages.h
+++ b/core/peer_messages.h
@@ -125,6 +125,14 @@
   std::vector<DrainNotice> Drains;
   std::vector<CrashNotice> Crashes;
   std::optional<ConfigurationMark> Mark;
+  /// The receiver hands these news on to the hosts of its data centre.
+  bool PassOn = false;
+};
+
+/// Digests of a host's soft state by bucket; the receiver answers with what
+/// it knows in the buckets that differ.
+struct ViewSummary {
+  std::vector<std::uint64_t> Buckets;
 };
 
 /// Tells of a crash and asks for a CrashReportAck.
@@ -277,6 +285,8 @@
   /// nothing if the sender does not read the store.
   std::optional<Duration> ConfirmedAgo;
   std::vector<TableRow> Rows;
+  /// The receiver hands these rows on to the hosts of its data centre.
+  bool PassOn = false;
 };
 
 using PeerBody =
@@ -284,7 +294,8 @@
                  ForwardedAttempt, AttemptAnswer, CancelForwarded, WorkWanted,
                  ClaimCall, ClaimAnswer, Handover, HandoverAck,
                  ConfigurationRequest, ConfigurationBytes, CrashReport,
-                 CrashReportAck, AttemptAnswerAck, TableRequest, TableRows>;
+                 CrashReportAck, AttemptAnswerAck, TableRequest, TableRows,
+                 ViewSummary>;
 
 /// One message with its sender.
 struct PeerMessage {
--- a/direct/fleet_view.h
+++ b/direct/fleet_view.h
@@ -7,10 +7,13 @@
 #include "core/membership.h"
 #include "core/soft_notices.h"
 #include "direct/flow_events.h"
+#include "direct/spread_plan.h"
 #include "direct/table_relay.h"
 
 #include <functional>
 #include <map>
+#include <optional>
+#include <random>
 #include <vector>
 
 namespace mimosacart {
@@ -70,9 +73,18 @@
   TableRelay::Hooks relayHooks();
   void send(const std::string &Address, PeerBody Body);
   void sendTo(const HostName &Host, PeerBody Body);
-  void broadcast(const PeerBody &Body);
+  /// Tells all hosts, some of them through others.
+  template <typename Body> void spread(Body News);
+  /// Hands news on to this host's data centre if its sender asks for that.
+  template <typename Body> void passOn(const HostName &From, Body News);
+  /// Tells what was seen of members since the last time.
+  void tellMemberNews();
+  void refreshMembers();
+  /// Gives a host that is new here enough members to find the others.
+  void welcome(const MemberRecord &Newcomer);
   void compare(const HostName &From, std::uint64_t Digest,
                const TableVersions &Theirs);
+  ViewSummary summary() const;
   void onMemberChanged(const MemberRecord &Record, NewsSource Source);
   std::uint64_t digest() const { return Members.digest() + Notices.digest(); }
 
@@ -82,6 +94,7 @@
   void handle(const HostName &From, const SoftState &Message);
   void handle(const HostName &From, const TableRequest &Message);
   void handle(const HostName &From, const TableRows &Message);
+  void handle(const HostName &From, const ViewSummary &Message);
 
   const FleetSettings Settings;
   const Hooks Use;
@@ -94,7 +107,15 @@
   std::map<HostName, DelayEstimator> Delays;
   std::uint64_t LastSequence = 0;
   std::uint64_t LastEvent = 0;
+  std::mt19937_64 Random;
   SoftNotices Notices;
+  /// Members that changed as seen by this host, not told yet.
+  std::map<HostName, MemberRecord> MemberNews;
+  /// Spread and Relay do not know the latest members yet.
+  bool MembersChanged = true;
+  /// Before this no summary of this host's view is sent.
+  std::optional<Instant> NextSummaryAt;
+  SpreadPlan Spread;
   TableRelay Relay;
   Membership Members;
 };
--- a/direct/server_ranking.cpp
+++ b/direct/server_ranking.cpp
@@ -38,8 +38,8 @@
   if (Silent)
     Factor = 1;
   else if (Known)
-    Factor = static_cast<double>(Of.Figures->SlownessPercent) /
-             UsualSlownessPercent;
+    Factor =
+        static_cast<double>(Of.Figures->SlownessPercent) / UsualSlownessPercent;
   const unsigned Slots = std::max(1U, Server.Slots);
   unsigned Busy = Of.InFlight;
   if (Known)
--- a/direct/table_relay.cpp
+++ b/direct/table_relay.cpp
@@ -52,29 +52,23 @@
   return "none";
 }
 
-TableRelay::TableRelay(HostName Self, std::string DataCentre, RelayTimes Times,
+TableRelay::TableRelay(HostName Self, RelayTimes Times,
                        const std::map<StoreTable, TableMirror *> &Mirrors,
                        Hooks Use)
-    : Self(std::move(Self)), DataCentre(std::move(DataCentre)), Times(Times),
-      Use(std::move(Use)) {
+    : Self(std::move(Self)), Times(Times), Use(std::move(Use)) {
   for (const auto &[Table, Mirror] : Mirrors)
     Tables[Table].Mirror = Mirror;
 }
 
 void TableRelay::setMembers(const std::vector<MemberRecord> &Members) {
-  std::vector<MemberRecord> Group = Members;
-  if (Members.size() > MaxGroup)
-    std::erase_if(Group, [this](const MemberRecord &Each) {
-      return Each.DataCentre != DataCentre;
-    });
-  Group = orderByRank(std::move(Group));
+  const std::vector<MemberRecord> Ordered = orderByRank(Members);
   Others.clear();
-  Rank = Group.size();
-  for (std::size_t Place = 0; Place < Group.size(); ++Place) {
-    if (Group[Place].Host == Self)
+  Rank = Ordered.size();
+  for (std::size_t Place = 0; Place < Ordered.size(); ++Place) {
+    if (Ordered[Place].Host == Self)
       Rank = Place;
     else
-      Others.push_back(Group[Place].Host);
+      Others.push_back(Ordered[Place].Host);
   }
 }
 
@@ -206,8 +200,7 @@
     News.Rows.clear();
     News.After = News.UpTo;
   }
-  for (const HostName &Host : Others)
-    Use.Send(Host, News);
+  Use.Tell(News);
 }
 
 void TableRelay::noteAhead(Instant Now, State &Of, const HostName &From,
--- a/direct/table_relay.h
+++ b/direct/table_relay.h
@@ -58,9 +58,9 @@
 /// Word used for \p Value in logs.
 const char *toString(ReadMode Value);
 
-/// Two hosts read the store for all of a group, the second as a stand-in; the
-/// others are told by them and read it themselves whenever they are not told
-/// that they are up to date.
+/// Two hosts read the store for all, the second as a stand-in; the others are
+/// told by them and read it themselves whenever they are not told that they are
+/// up to date.
 ///
 /// Every host judges by what it was told last, so a reader that lost the store
 /// or its peers costs time, never a state that stays old.
@@ -68,14 +68,13 @@
 public:
   struct Hooks {
     std::function<void(const HostName &, PeerBody)> Send;
+    /// Tells all other hosts.
+    std::function<void(const TableRows &)> Tell;
     std::function<void(ReadMode)> Read;
     FlowLogHook Log;
   };
 
-  /// Beyond this many hosts each data centre has readers of its own.
-  static constexpr std::size_t MaxGroup = 100;
-
-  TableRelay(HostName Self, std::string DataCentre, RelayTimes Times,
+  TableRelay(HostName Self, RelayTimes Times,
              const std::map<StoreTable, TableMirror *> &Tables, Hooks Use);
 
   /// The hosts that are there, this one included, have changed.
@@ -95,7 +94,7 @@
   void tick(Instant Now);
 
   ReadMode mode() const { return Mode; }
-  /// This host's place among all of its group; the first ones are readers.
+  /// This host's place among all; the first ones are readers.
   std::size_t rank() const { return Rank; }
   /// Pause between calls of this host to a store that does not answer. Some
   /// hosts ask often and tell the others as soon as it is back; these ask too,
@@ -143,11 +142,10 @@
   void noteProgress(State &Of) const;
 
   const HostName Self;
-  const std::string DataCentre;
   const RelayTimes Times;
   const Hooks Use;
   std::map<StoreTable, State> Tables;
-  /// Hosts of the group without this one.
+  /// All hosts without this one.
   std::vector<HostName> Others;
   /// This host's place among those that may read; 0 and 1 are the readers.
   std::size_t Rank = 0;
--- a/direct/usual_times.cpp
+++ b/direct/usual_times.cpp
@@ -14,8 +14,7 @@
 
 } // namespace
 
-void UsualTimes::note(const std::string &Route, Duration Time,
-                      double Factor) {
+void UsualTimes::note(const std::string &Route, Duration Time, double Factor) {
   const double Sample = static_cast<double>(Time.count()) / Factor;
   const auto [Place, Added] = Microseconds.try_emplace(Route, Sample);
   if (Added)
--- a/net/peer_transport.cpp
+++ b/net/peer_transport.cpp
@@ -2,7 +2,11 @@
 
 #include "net/asio.h"
 
+#include <chrono>
+#include <deque>
+#include <string>
 #include <unordered_map>
+#include <utility>
 #include <zmq.hpp>
 
 namespace mimosacart {
@@ -19,6 +23,25 @@
 constexpr int MaxReconnectMs = 500;
 /// Messages taken before other events of the loop get their turn.
 constexpr unsigned ReceiveBatch = 256;
+/// Messages for a peer that is being connected wait for this long, and are
+/// tried this often.
+constexpr auto FirstConnectTime = std::chrono::milliseconds(300);
+constexpr auto FirstConnectRetry = std::chrono::milliseconds(5);
+constexpr std::size_t MaxWaitingMessages = 32;
+/// Sockets that were not used for this long are closed.
+constexpr auto MaxUnused = std::chrono::seconds(60);
+constexpr auto UnusedCheckInterval = std::chrono::seconds(10);
+
+using SteadyTime = std::chrono::steady_clock::time_point;
+
+/// The sending side of one peer.
+struct OutboundPeer {
+  zmq::socket_t Socket;
+  SteadyTime OpenedAt;
+  SteadyTime UsedAt;
+  /// Messages that wait for the first connection, in their order.
+  std::deque<std::string> Waiting;
+};
 
 } // namespace
 
@@ -26,7 +49,8 @@
 public:
   Impl(asio::io_context &Io, ReceiveHook Received)
       : Io(Io), Received(std::move(Received)), Context(1),
-        Inbound(Context, zmq::socket_type::pull), Readable(Io) {}
+        Inbound(Context, zmq::socket_type::pull), Readable(Io),
+        WaitingRetry(Io) {}
 
   ~Impl() {
     // The descriptor belongs to ZeroMQ, which closes it itself.
@@ -50,21 +74,70 @@
   }
 
   void send(const std::string &Address, std::string_view Bytes) {
-    zmq::socket_t &Socket = outbound(Address);
-    const auto Sent = Socket.send(zmq::buffer(Bytes.data(), Bytes.size()),
-                                  zmq::send_flags::dontwait);
-    if (!Sent) {
+    const SteadyTime Now = std::chrono::steady_clock::now();
+    closeUnused(Now);
+    OutboundPeer &Peer = outbound(Address, Now);
+    Peer.UsedAt = Now;
+    if (Peer.Waiting.empty() && trySend(Peer, Bytes))
+      return;
+    const bool IsNew = Now - Peer.OpenedAt < FirstConnectTime;
+    if (!IsNew || Peer.Waiting.size() >= MaxWaitingMessages) {
       ++Counters.MessagesNotSent;
       return;
     }
-    ++Counters.MessagesSent;
-    Counters.BytesSent += Bytes.size();
+    Peer.Waiting.emplace_back(Bytes);
+    scheduleWaiting();
   }
 
   PeerTransportCounters Counters;
 
 private:
-  zmq::socket_t &outbound(const std::string &Address) {
+  bool trySend(OutboundPeer &Peer, std::string_view Bytes) {
+    if (!Peer.Socket.send(zmq::buffer(Bytes.data(), Bytes.size()),
+                          zmq::send_flags::dontwait))
+      return false;
+    ++Counters.MessagesSent;
+    Counters.BytesSent += Bytes.size();
+    return true;
+  }
+
+  void scheduleWaiting() {
+    if (std::exchange(RetryScheduled, true))
+      return;
+    WaitingRetry.expires_after(FirstConnectRetry);
+    WaitingRetry.async_wait([this](boost::system::error_code Error) {
+      RetryScheduled = false;
+      if (!Error)
+        sendWaiting();
+    });
+  }
+
+  void sendWaiting() {
+    const SteadyTime Now = std::chrono::steady_clock::now();
+    bool SomeWait = false;
+    for (auto &[Address, Peer] : Outbound) {
+      while (!Peer.Waiting.empty() && trySend(Peer, Peer.Waiting.front()))
+        Peer.Waiting.pop_front();
+      if (Now - Peer.OpenedAt >= FirstConnectTime) {
+        Counters.MessagesNotSent += Peer.Waiting.size();
+        Peer.Waiting.clear();
+      }
+      SomeWait = SomeWait || !Peer.Waiting.empty();
+    }
+    if (SomeWait)
+      scheduleWaiting();
+  }
+
+  void closeUnused(SteadyTime Now) {
+    if (Now < NextUnusedCheck)
+      return;
+    NextUnusedCheck = Now + UnusedCheckInterval;
+    std::erase_if(Outbound, [Now](const auto &Entry) {
+      return Now - Entry.second.UsedAt > MaxUnused;
+    });
+  }
+
+  OutboundPeer &outbound(const std::string &Address, SteadyTime Now) {
     const auto Found = Outbound.find(Address);
     if (Found != Outbound.end())
       return Found->second;
@@ -75,7 +148,9 @@
     Socket.set(zmq::sockopt::reconnect_ivl, ReconnectMs);
     Socket.set(zmq::sockopt::reconnect_ivl_max, MaxReconnectMs);
     Socket.connect("tcp://" + Address);
-    return Outbound.emplace(Address, std::move(Socket)).first->second;
+    return Outbound
+        .emplace(Address, OutboundPeer{std::move(Socket), Now, Now, {}})
+        .first->second;
   }
 
   /// ZeroMQ's descriptor only tells of changes, so every message is taken
@@ -106,8 +181,11 @@
   const ReceiveHook Received;
   zmq::context_t Context;
   zmq::socket_t Inbound;
-  std::unordered_map<std::string, zmq::socket_t> Outbound;
+  std::unordered_map<std::string, OutboundPeer> Outbound;
   asio::posix::stream_descriptor Readable;
+  asio::steady_timer WaitingRetry;
+  bool RetryScheduled = false;
+  SteadyTime NextUnusedCheck{};
 };
 
 PeerTransport::PeerTransport(asio::io_context &Context, ReceiveHook Received)
--- a/net/peer_transport.h
+++ b/net/peer_transport.h
@@ -30,8 +30,10 @@
 /// One socket that receives and one per peer that sends.
 ///
 /// Messages may be lost, never duplicated or reordered between two
-/// processes. Nothing waits for a peer that is not connected, so no message
-/// arrives long after it was sent only because a connection came back.
+/// processes. Messages wait a moment for a peer's first connection; nothing
+/// waits for one that was lost, so that no message arrives long after it was
+/// sent only because a connection came back. Sockets to peers that are sent
+/// nothing for a while are closed.
 class PeerTransport {
 public:
   using ReceiveHook = std::function<void(std::string_view Bytes)>;
--- a/tests/direct/table_relay_test.cpp
+++ b/tests/direct/table_relay_test.cpp
@@ -39,6 +39,11 @@
       Use.Send = [this, From = Member.Host](const HostName &To, PeerBody Body) {
         deliver(From, To, std::move(Body));
       };
+      Use.Tell = [this, From = Member.Host](const TableRows &News) {
+        for (const auto &[Name, Each] : Hosts)
+          if (Name != From)
+            deliver(From, Name, News);
+      };
       Use.Read = [&Made](ReadMode Mode) {
         // The follower asks at once when it begins to follow closely.
         Made.AsksNow = Mode == ReadMode::Close;
@@ -46,7 +51,7 @@
       };
       Use.Log = [](const char *, const FlowFields &) {};
       Made.Relay = std::make_unique<TableRelay>(
-          Member.Host, Member.DataCentre, RelayTimes{},
+          Member.Host, RelayTimes{},
           std::map<StoreTable, TableMirror *>{
               {StoreTable::Routes, &Made.Routes},
               {StoreTable::Servers, &Made.Servers}},
--- /dev/null
+++ b/tests/net/peer_transport_test.cpp
@@ -0,0 +1,61 @@
+/// \file
+/// What becomes of messages to peers that are being connected or are gone.
+#include "net/peer_transport.h"
+
+#include "net/asio.h"
+
+#include <gtest/gtest.h>
+
+namespace mimosacart {
+namespace {
+
+using namespace std::chrono_literals;
+
+class PeerTransportTest : public testing::Test {
+protected:
+  PeerTransportTest() {
+    // Asks the system for a port that is free.
+    tcp::acceptor Probe(Context, {asio::ip::address_v4::loopback(), 0});
+    Address = "127.0.0.1:" + std::to_string(Probe.local_endpoint().port());
+  }
+
+  std::unique_ptr<PeerTransport> makeReceiver() {
+    auto Made = std::make_unique<PeerTransport>(
+        Context,
+        [this](std::string_view Bytes) { Received.emplace_back(Bytes); });
+    EXPECT_TRUE(Made->listen(Address).has_value());
+    return Made;
+  }
+
+  void run(std::chrono::milliseconds Span) { Context.run_for(Span); }
+
+  asio::io_context Context;
+  const asio::executor_work_guard<asio::io_context::executor_type> Work =
+      asio::make_work_guard(Context);
+  std::string Address;
+  std::vector<std::string> Received;
+  PeerTransport Sender{Context, [](std::string_view) {}};
+};
+
+TEST_F(PeerTransportTest, send_firstMessages_arriveInOrder) {
+  const auto Receiver = makeReceiver();
+  Sender.send(Address, "one");
+  Sender.send(Address, "two");
+  run(250ms);
+  EXPECT_EQ(Received, (std::vector<std::string>{"one", "two"}));
+  EXPECT_EQ(Sender.counters().MessagesSent, 2U);
+}
+
+TEST_F(PeerTransportTest, send_peerThatStartsMuchLater_nothingOldArrives) {
+  Sender.send(Address, "old");
+  run(400ms);
+  const auto Receiver = makeReceiver();
+  run(700ms);
+  Sender.send(Address, "new");
+  run(100ms);
+  EXPECT_EQ(Received, std::vector<std::string>{"new"});
+  EXPECT_EQ(Sender.counters().MessagesNotSent, 1U);
+}
+
+} // namespace
+} // namespace mimosacart
--- a/tests/wire/peer_codec_test.cpp
+++ b/tests/wire/peer_codec_test.cpp
@@ -79,6 +79,7 @@
       AttemptAnswerAck{Incarnation(1), AttemptId(2)},
       TableRequest{StoreTable::Servers, 7},
       TableRows{StoreTable::Servers, 5, 9, true, 3ms, {{"k", 8, true, "v"}}},
+      ViewSummary{{1, 2, 3}},
   };
 }
 
--- a/wire/peer_codec.cpp
+++ b/wire/peer_codec.cpp
@@ -213,6 +213,7 @@
     write(Notice, *To.add_crashes());
   if (From.Mark)
     write(*From.Mark, *To.mutable_mark());
+  To.set_pass_on(From.PassOn);
 }
 
 SoftState read(const wire::SoftState &From) {
@@ -226,9 +227,15 @@
     To.Crashes.push_back(read(Crash));
   if (From.has_mark())
     To.Mark = read(From.mark());
+  To.PassOn = From.pass_on();
   return To;
 }
 
+void write(const ViewSummary &From, wire::Envelope &Envelope) {
+  wire::ViewSummary &To = *Envelope.mutable_view_summary();
+  To.mutable_buckets()->Add(From.Buckets.begin(), From.Buckets.end());
+}
+
 void write(const LoadReport &From, wire::Envelope &To) {
   wire::LoadReport &Report = *To.mutable_load_report();
   for (const ServiceLoad &Load : From.Loads)
@@ -432,6 +439,9 @@
     return required(readTableRequest(From.table_request()));
   case wire::Envelope::kTableRows:
     return required(readTableRows(From.table_rows()));
+  case wire::Envelope::kViewSummary:
+    return ViewSummary{{From.view_summary().buckets().begin(),
+                        From.view_summary().buckets().end()}};
   case wire::Envelope::BODY_NOT_SET:
     break;
   }
