Do not send to unknown servers while others are known to be slow; ask more instead

Cause: after three rounds of probes the best server without a full queue was taken if its expected time fitted. Change: figures younger than 80 ms go before none; unknown servers are taken only if nothing is known, or at the end of the hold. Test, failing first: start_askedServersSlow_othersAreAskedNotTriedBlindly.

--- a/direct/request_flow.h
+++ b/direct/request_flow.h
@@ -152,6 +152,10 @@
   /// No server is expected to meet the objective: waits, then takes what there
   /// is or sends the caller away.
   void hold(Instant Now, Flow &Of, const RankedServer *Free);
+  /// The best server that has room for the request; null if there is none.
+  static const RankedServer *findFree(const Flow &Of,
+                                      const std::vector<RankedServer> &Ranked,
+                                      bool RecentOnly);
   bool fitsObjective(Instant Now, const Flow &Of,
                      const RankedServer &Server) const;
   void send(Instant Now, Flow &Of, const RankedServer &To);
--- a/direct/request_flow_choice.cpp
+++ b/direct/request_flow_choice.cpp
@@ -39,16 +39,29 @@
     setWake(Of);
     return;
   }
+  // A server that is not known may be slow; it is only taken if no other is.
+  const bool SomeKnown =
+      std::any_of(Ranked.begin(), Ranked.end(),
+                  [](const RankedServer &Each) { return Each.Recent; });
+  const RankedServer *Known = findFree(Of, Ranked, SomeKnown);
+  if (Known != nullptr && fitsObjective(Now, Of, *Known))
+    send(Now, Of, *Known);
+  else
+    hold(Now, Of, findFree(Of, Ranked, false));
+}
+
+const RankedServer *
+RequestFlow::findFree(const Flow &Of, const std::vector<RankedServer> &Ranked,
+                      bool RecentOnly) {
   // The most urgent requests may use what others leave free.
   const bool Urgent = Of.Request.Route.Priority == 0;
-  const auto Free = std::find_if(Ranked.begin(), Ranked.end(),
-                                 [Urgent](const RankedServer &Each) {
-                                   return Urgent ? Each.Idle : Each.Roomy;
-                                 });
-  if (Free != Ranked.end() && fitsObjective(Now, Of, *Free))
-    send(Now, Of, *Free);
-  else
-    hold(Now, Of, Free == Ranked.end() ? nullptr : &*Free);
+  const auto Found =
+      std::find_if(Ranked.begin(), Ranked.end(),
+                   [Urgent, RecentOnly](const RankedServer &Each) {
+                     const bool Free = Urgent ? Each.Idle : Each.Roomy;
+                     return Free && (Each.Recent || !RecentOnly);
+                   });
+  return Found == Ranked.end() ? nullptr : &*Found;
 }
 
 bool RequestFlow::fitsObjective(Instant Now, const Flow &Of,
--- a/direct/server_ranking.cpp
+++ b/direct/server_ranking.cpp
@@ -34,6 +34,7 @@
   // Nothing is learnt by asking a server that does not tell its load.
   const bool Silent = Of.TellsLoad.has_value() && !*Of.TellsLoad;
   Result.Fresh = Silent || (Of.Figures && Age <= Policy.FreshFor);
+  Result.Recent = Silent || (Of.Figures && Age <= Policy.RecentFor);
   double Factor = Policy.UnknownFactor;
   if (Silent)
     Factor = 1;
--- a/direct/server_ranking.h
+++ b/direct/server_ranking.h
@@ -15,6 +15,8 @@
 struct RankingPolicy {
   /// Figures younger than this are as good as those of a new probe.
   Duration FreshFor = std::chrono::milliseconds(20);
+  /// Figures younger than this are better than none.
+  Duration RecentFor = std::chrono::milliseconds(80);
   /// Figures older than this say nothing.
   Duration StaleAfter = std::chrono::milliseconds(400);
   /// A server whose expected time exceeds its usual one by this factor is
@@ -48,6 +50,8 @@
   Duration FiguresAge = Duration::max();
   /// The figures are young enough to rely on.
   bool Fresh = false;
+  /// They are young enough to prefer the server to one that is not known.
+  bool Recent = false;
   /// The server is expected to answer about as fast as it usually does.
   bool Good = false;
   /// A slot is free.
--- a/tests/direct/request_flow_test.cpp
+++ b/tests/direct/request_flow_test.cpp
@@ -167,6 +167,26 @@
   EXPECT_EQ(Use.openCalls(), Strings{"a"});
 }
 
+TEST(RequestFlowRoomTest,
+     start_askedServersSlow_othersAreAskedNotTriedBlindly) {
+  constexpr unsigned Servers = 12;
+  FlowHarness Use;
+  for (unsigned Number = 0; Number < Servers; ++Number)
+    Use.addServer("s" + std::to_string(Number));
+  Use.start();
+  unsigned Asked = 0;
+  while (Asked < 8) {
+    Asked += static_cast<unsigned>(Use.Probes.size());
+    Use.answerProbes(Slowed);
+    Use.pass(1ms);
+  }
+  EXPECT_TRUE(Use.Calls.empty());
+  Use.pass(30ms);
+  ASSERT_FALSE(Use.Probes.empty());
+  Use.answerProbes(Idle);
+  EXPECT_EQ(Use.Calls.size(), 1U);
+}
+
 TEST_F(RequestFlowTest, start_queueAtEveryServer_isNotJoined) {
   const RequestId Id = Use.start();
   Use.answerProbes(Crowded);
