Judge a server's failures against those of its service

Change: the lower median of the candidates' scores is taken off each. Test, failing first: rank_mostServersFail_theyAreGoodAllTheSame.

--- a/direct/server_ranking.cpp
+++ b/direct/server_ranking.cpp
@@ -4,16 +4,36 @@
 
 namespace mimosacart {
 
+namespace {
+
+/// 0 for no values.
+double lowerMedian(std::vector<double> Values) {
+  if (Values.empty())
+    return 0;
+  const auto Middle =
+      Values.begin() + static_cast<std::ptrdiff_t>((Values.size() - 1) / 2);
+  std::nth_element(Values.begin(), Middle, Values.end());
+  return *Middle;
+}
+
+} // namespace
+
 std::vector<RankedServer>
 ServerRanking::rank(Instant Now,
                     const std::vector<const DiscoveredServer *> &Servers,
                     const LoadBoard &Board, Duration Usual) {
   static const ServerKnowledge Nothing;
-  std::vector<RankedServer> Result;
-  for (const DiscoveredServer *Server : Servers) {
+  const auto KnowledgeOf = [&Board](const DiscoveredServer *Server) -> auto & {
     const ServerKnowledge *Of = Board.find(Server->Id);
-    Result.push_back(judge(Now, *Server, Of ? *Of : Nothing, Usual));
-  }
+    return Of ? *Of : Nothing;
+  };
+  std::vector<double> Failures;
+  for (const DiscoveredServer *Server : Servers)
+    Failures.push_back(LoadBoard::failures(Now, KnowledgeOf(Server)));
+  const double Common = lowerMedian(std::move(Failures));
+  std::vector<RankedServer> Result;
+  for (const DiscoveredServer *Server : Servers)
+    Result.push_back(judge(Now, *Server, KnowledgeOf(Server), Usual, Common));
   std::shuffle(Result.begin(), Result.end(), Random);
   std::stable_sort(Result.begin(), Result.end(),
                    [](const RankedServer &Left, const RankedServer &Right) {
@@ -23,8 +43,8 @@
 }
 
 RankedServer ServerRanking::judge(Instant Now, const DiscoveredServer &Server,
-                                  const ServerKnowledge &Of,
-                                  Duration Usual) const {
+                                  const ServerKnowledge &Of, Duration Usual,
+                                  double Common) const {
   RankedServer Result;
   Result.Server = &Server;
   const Duration Age = Now - Of.FiguresAt;
@@ -53,7 +73,8 @@
     Factor *= Policy.WarmUpFactor;
   if (Busy >= Slots)
     Factor *= 1 + static_cast<double>(Busy - Slots + 1) / Slots;
-  const double Failures = LoadBoard::failures(Now, Of);
+  // What fails everywhere is no reason to look for another server.
+  const double Failures = std::max(0.0, LoadBoard::failures(Now, Of) - Common);
   Result.Idle = Busy < Slots;
   Result.Roomy = Result.Idle && !BeyondKnee;
   Result.Good = (Known || Silent) && Factor <= Policy.GoodFactor &&
--- a/direct/server_ranking.h
+++ b/direct/server_ranking.h
@@ -25,7 +25,7 @@
   /// Added for a server in another data centre, whose bytes cost more, in
   /// usual times.
   double DistanceFactor = 0.6;
-  /// Added for each recent failure.
+  /// Added for each recent failure beyond those that most servers have.
   Duration FailureCost = std::chrono::milliseconds(500);
   /// Added for a server that calls itself unhealthy.
   Duration UnhealthyCost = std::chrono::milliseconds(2000);
@@ -76,8 +76,10 @@
   const RankingPolicy &policy() const { return Policy; }
 
 private:
+  /// \p Common is the failure score that most servers have in common.
   RankedServer judge(Instant Now, const DiscoveredServer &Server,
-                     const ServerKnowledge &Of, Duration Usual) const;
+                     const ServerKnowledge &Of, Duration Usual,
+                     double Common) const;
 
   const RankingPolicy Policy;
   const std::string DataCentre;
--- a/tests/direct/small_parts_test.cpp
+++ b/tests/direct/small_parts_test.cpp
@@ -75,6 +75,18 @@
   EXPECT_EQ(best(), "failing");
 }
 
+TEST_F(ServerRankingTest, rank_mostServersFail_theyAreGoodAllTheSame) {
+  for (const char *Id : {"a", "b", "c"}) {
+    add(Id);
+    tell(Id, 0, 100);
+    Board.noteFailure(Now, ServerName(Id), 2);
+  }
+  Board.noteFailure(Now, ServerName("c"), 1);
+  EXPECT_NE(best(), "c");
+  EXPECT_TRUE(Ranked.front().Good);
+  EXPECT_FALSE(Ranked.back().Good);
+}
+
 TEST_F(ServerRankingTest, rank_callsStartedSinceTheFigures_countAsBusy) {
   add("a");
   tell("a", 1, 100);
