--- a/tests/platform/documents_test.cpp
+++ b/tests/platform/documents_test.cpp
@@ -143,7 +143,8 @@
       {"/born", -1},
       {"/info/concurrency", 1e300},
       {"/status/sequence", -4},
-      {"/status/warmupLeft", "1e30s"}};
+      {"/status/warmupLeft", "1e30s"},
+      {"/info/version", 2}};
   for (const auto &[Path, Value] : Damages) {
     Json Entry = makeServer();
     Entry[Json::json_pointer(Path)] = Value;
@@ -154,6 +155,16 @@
     Entry.erase(Path);
     EXPECT_FALSE(isUsable(Entry.dump())) << Path;
   }
+  for (const char *Field : {"service", "zone", "concurrency", "version"}) {
+    Json Entry = makeServer();
+    Entry["info"].erase(Field);
+    EXPECT_FALSE(isUsable(Entry.dump())) << Field;
+  }
+  for (const char *Field : {"state", "sequence", "warmupLeft"}) {
+    Json Entry = makeServer();
+    Entry["status"].erase(Field);
+    EXPECT_FALSE(isUsable(Entry.dump())) << Field;
+  }
   EXPECT_FALSE(isUsable("not json"));
   EXPECT_FALSE(isUsable("[]"));
 }
