Name the hosts of a great fleet in turn in the directory's answers

Test: writeDirectory_greatFleet_isNamedInTurn (the old function takes no turn, so it could not fail on it).

--- a/daemon/direct_host_process.cpp
+++ b/daemon/direct_host_process.cpp
@@ -295,7 +295,8 @@
     return;
   }
   Exchange.respond(writeDirectory(Core.callerAddresses(),
-                                  Settings.Direct->DirectoryLifetime));
+                                  Settings.Direct->DirectoryLifetime,
+                                  ++DirectoryAnswers));
 }
 
 void DirectHostProcess::onReadinessRequest(HttpExchange &Exchange) {
--- a/daemon/direct_host_process.h
+++ b/daemon/direct_host_process.h
@@ -90,6 +90,8 @@
   std::unordered_map<RequestId, std::shared_ptr<HttpExchange>> Exchanges;
   std::unordered_map<CallId, std::shared_ptr<HttpCallHandle>> Calls;
   std::uint64_t LastRequest = 0;
+  /// Hosts begin with different parts of the list.
+  std::uint64_t DirectoryAnswers = Life.value();
 };
 
 } // namespace mimosacart
--- a/tests/direct/server_subset_test.cpp
+++ b/tests/direct/server_subset_test.cpp
@@ -65,9 +65,8 @@
   addServers(1500);
   std::map<std::string, unsigned> Times;
   for (unsigned Host = 0; Host < 300; ++Host)
-    for (const std::string &Id :
-         preferred("host-" + std::to_string(Host), 300,
-                   Host % 3 == 0 ? "here" : "there"))
+    for (const std::string &Id : preferred("host-" + std::to_string(Host), 300,
+                                           Host % 3 == 0 ? "here" : "there"))
       ++Times[Id];
   EXPECT_GE(Times.size(), 1480U);
   // Each is preferred by six hosts on average.
--- a/tests/platform/exchanges_test.cpp
+++ b/tests/platform/exchanges_test.cpp
@@ -157,11 +157,22 @@
 }
 
 TEST(ExchangesTest, writeDirectory_hosts_areListedWithTheirLifetime) {
-  const HttpResponse Response = writeDirectory({"10.0.0.1:80"}, 1500ms);
+  const HttpResponse Response = writeDirectory({"10.0.0.1:80"}, 1500ms, 9);
   EXPECT_EQ(Response.Body, R"({"addrs":["10.0.0.1:80"],"ttl":"1500ms"})");
-  EXPECT_EQ(writeDirectory({}, 1s).Status, 503U);
+  EXPECT_EQ(writeDirectory({}, 1s, 1).Status, 503U);
   const std::vector<std::string> Many(100, "10.0.0.1:80");
-  EXPECT_LT(writeDirectory(Many, 1s).Body.size(), 64 * 15 + 40U);
+  EXPECT_LT(writeDirectory(Many, 1s, 1).Body.size(), 64 * 15 + 40U);
+}
+
+TEST(ExchangesTest, writeDirectory_greatFleet_isNamedInTurn) {
+  std::vector<std::string> Many;
+  for (unsigned Number = 0; Number < 150; ++Number)
+    Many.push_back("10.0.0." + std::to_string(Number) + ":80");
+  std::string Named;
+  for (std::uint64_t Turn = 7; Turn < 10; ++Turn)
+    Named += writeDirectory(Many, 1s, Turn).Body;
+  for (const std::string &Address : Many)
+    EXPECT_NE(Named.find('"' + Address + '"'), std::string::npos) << Address;
 }
 
 TEST(ExchangesTest, readProbe_answers_tellHealthAndWhoItWas) {
