--- a/direct/server_ranking.cpp
+++ b/direct/server_ranking.cpp
@@ -28,10 +28,12 @@
     return Of ? *Of : Nothing;
   };
   std::vector<double> Failures;
+  Failures.reserve(Servers.size());
   for (const DiscoveredServer *Server : Servers)
     Failures.push_back(LoadBoard::failures(Now, KnowledgeOf(Server)));
   const double Common = lowerMedian(std::move(Failures));
   std::vector<RankedServer> Result;
+  Result.reserve(Servers.size());
   for (const DiscoveredServer *Server : Servers)
     Result.push_back(judge(Now, *Server, KnowledgeOf(Server), Usual, Common));
   std::shuffle(Result.begin(), Result.end(), Random);
