--- a/tests/direct/flow_harness.cpp
+++ b/tests/direct/flow_harness.cpp
@@ -148,6 +148,15 @@
   Flow.tick(Now);
 }
 
+void FlowHarness::passAnsweringProbes(Duration Span, const LoadFigures &Figures,
+                                      RequestId Until) {
+  constexpr Duration Step = 10ms;
+  for (const Instant End = Now + Span; Now < End && !ended(Until);) {
+    pass(Step);
+    answerProbes(Figures);
+  }
+}
+
 std::vector<std::string> FlowHarness::openCalls() const {
   std::vector<std::string> Result;
   for (const DirectCall &Call : Calls)
--- a/tests/direct/flow_harness.h
+++ b/tests/direct/flow_harness.h
@@ -34,6 +34,9 @@
   void answerProbes(const LoadFigures &Figures);
   void loseProbes();
   void pass(Duration Span);
+  /// The same until \p Until ended, with every probe answered by \p Figures.
+  void passAnsweringProbes(Duration Span, const LoadFigures &Figures,
+                           RequestId Until);
 
   /// Servers with an open call, in the order of the calls.
   std::vector<std::string> openCalls() const;
--- a/tests/direct/request_flow_test.cpp
+++ b/tests/direct/request_flow_test.cpp
@@ -103,10 +103,7 @@
   const RequestId Id = Use.start();
   Use.answerProbes(Busy);
   EXPECT_FALSE(Use.ended(Id));
-  for (unsigned Step = 0; Step < 20 && !Use.ended(Id); ++Step) {
-    Use.pass(10ms);
-    Use.answerProbes(Busy);
-  }
+  Use.passAnsweringProbes(200ms, Busy, Id);
   ASSERT_TRUE(Use.ended(Id));
   EXPECT_EQ(Use.result(Id).Refused.What, Outcome::NotRun);
   EXPECT_LE(Use.result(Id).Total, Use.Route.Objective / 2);
@@ -153,10 +150,7 @@
   Use.addServer("a", 6);
   const RequestId Patient = Use.start();
   Use.answerProbes(NearFull);
-  for (unsigned Step = 0; Step < 20 && !Use.ended(Patient); ++Step) {
-    Use.pass(10ms);
-    Use.answerProbes(NearFull);
-  }
+  Use.passAnsweringProbes(200ms, NearFull, Patient);
   ASSERT_TRUE(Use.ended(Patient));
   EXPECT_EQ(Use.result(Patient).Refused.What, Outcome::NotRun);
   EXPECT_TRUE(Use.Calls.empty());
@@ -190,10 +184,7 @@
 TEST_F(RequestFlowTest, start_queueAtEveryServer_isNotJoined) {
   const RequestId Id = Use.start();
   Use.answerProbes(Crowded);
-  for (unsigned Step = 0; Step < 20 && !Use.ended(Id); ++Step) {
-    Use.pass(10ms);
-    Use.answerProbes(Crowded);
-  }
+  Use.passAnsweringProbes(200ms, Crowded, Id);
   ASSERT_TRUE(Use.ended(Id));
   EXPECT_EQ(Use.result(Id).Refused.What, Outcome::NotRun);
   EXPECT_TRUE(Use.Calls.empty());
