Share the median and the test for the most urgent; copy no rows that nobody hands on

Read again after the landing: ServerRanking wrote the lower median of ServerPool a second time; the test for priority 0 stood twice; FleetView copied all rows of each message before it looked whether they are to be handed on, and filtered departed members itself where reachablePeers() does. Behaviour is unchanged.

--- a/core/server_pool.cpp
+++ b/core/server_pool.cpp
@@ -1,7 +1,10 @@
 #include "core/server_pool.h"
 
+#include "core/median.h"
+
 #include <algorithm>
 #include <cmath>
+#include <utility>
 
 namespace mimosacart {
 
@@ -75,13 +78,7 @@
   for (const auto &[Name, Known] : Servers)
     if (Known.Owned && Known.MeanMicroseconds > 0)
       Means.push_back(Known.MeanMicroseconds);
-  if (Means.empty())
-    return 0;
-  // The lower median, so that the slower of two servers can be told.
-  const auto Middle =
-      Means.begin() + static_cast<std::ptrdiff_t>((Means.size() - 1) / 2);
-  std::nth_element(Means.begin(), Middle, Means.end());
-  return *Middle;
+  return lowerMedian(std::move(Means));
 }
 
 unsigned ServerPool::limitOf(Instant Now, const State &Of) const {
--- a/direct/fleet_view.cpp
+++ b/direct/fleet_view.cpp
@@ -79,8 +79,6 @@
 
 template <typename Body>
 void FleetView::passOn(const HostName &From, Body News) {
-  if (!News.PassOn)
-    return;
   refreshMembers();
   News.PassOn = false;
   const MemberRecord *Sender = Members.find(From);
@@ -219,9 +217,10 @@
 
 void FleetView::welcome(const MemberRecord &Newcomer) {
   SoftState Some;
-  Some.Members = Members.all();
+  Some.Members = Members.reachablePeers();
+  Some.Members.push_back(Members.self());
   std::erase_if(Some.Members, [&Newcomer](const MemberRecord &Each) {
-    return Each.Host == Newcomer.Host || Each.Status > MemberStatus::Suspect;
+    return Each.Host == Newcomer.Host;
   });
   // Another choice for each newcomer, so that they ask different hosts next.
   std::shuffle(Some.Members.begin(), Some.Members.end(), Random);
@@ -234,7 +233,6 @@
 void FleetView::handle(const HostName &From, const SoftState &Message) {
   // What this host knew already was handed on when it learnt of it.
   SoftState News;
-  News.PassOn = Message.PassOn;
   for (const MemberRecord &Record : Message.Members)
     if (Members.merge(Now, Record, NewsSource::Relayed))
       News.Members.push_back(Record);
@@ -245,7 +243,8 @@
               {{"fingerprint", std::to_string(Notice.Fingerprint)},
                {"server", Notice.Server.value()}});
     }
-  if (!News.Members.empty() || !News.Crashes.empty())
+  const bool Any = !News.Members.empty() || !News.Crashes.empty();
+  if (Message.PassOn && Any)
     passOn(From, std::move(News));
 }
 
@@ -298,10 +297,12 @@
 }
 
 void FleetView::handle(const HostName &From, const TableRows &Message) {
-  TableRows Onward = Message;
-  if (Onward.ConfirmedAgo)
-    *Onward.ConfirmedAgo += MessageDelay;
-  passOn(From, std::move(Onward));
+  if (Message.PassOn) {
+    TableRows Onward = Message;
+    if (Onward.ConfirmedAgo)
+      *Onward.ConfirmedAgo += MessageDelay;
+    passOn(From, std::move(Onward));
+  }
   Relay.onRows(Now, From, Message, MessageDelay);
 }
 
--- a/direct/fleet_view.h
+++ b/direct/fleet_view.h
@@ -75,7 +75,7 @@
   void sendTo(const HostName &Host, PeerBody Body);
   /// Tells all hosts, some of them through others.
   template <typename Body> void spread(Body News);
-  /// Hands news on to this host's data centre if its sender asks for that.
+  /// Hands news on to the other hosts of this data centre.
   template <typename Body> void passOn(const HostName &From, Body News);
   /// Tells what was seen of members since the last time.
   void tellMemberNews();
--- a/direct/request_flow_choice.cpp
+++ b/direct/request_flow_choice.cpp
@@ -50,7 +50,7 @@
 RequestFlow::findFree(const Flow &Of, const std::vector<RankedServer> &Ranked,
                       bool RecentOnly) {
   // The most urgent requests may use what others leave free.
-  const bool Urgent = Of.Request.Route.Priority == 0;
+  const bool Urgent = Of.Request.Route.isMostUrgent();
   const auto Found =
       std::find_if(Ranked.begin(), Ranked.end(),
                    [Urgent, RecentOnly](const RankedServer &Each) {
@@ -84,7 +84,7 @@
                                 const RankedServer &Server) const {
   const HostRoute &Route = Of.Request.Route;
   const Duration Left = Of.Request.Arrived + Route.Objective - Now;
-  const double Factor = Route.Priority == 0 ? 1 : Policy.RoomFactor;
+  const double Factor = Route.isMostUrgent() ? 1 : Policy.RoomFactor;
   return scaled(Server.Expected, Factor) <= Left;
 }
 
--- a/direct/server_ranking.cpp
+++ b/direct/server_ranking.cpp
@@ -1,23 +1,11 @@
 #include "direct/server_ranking.h"
 
+#include "core/median.h"
+
 #include <algorithm>
 
 namespace mimosacart {
 
-namespace {
-
-/// 0 for no values.
-double lowerMedian(std::vector<double> Values) {
-  if (Values.empty())
-    return 0;
-  const auto Middle =
-      Values.begin() + static_cast<std::ptrdiff_t>((Values.size() - 1) / 2);
-  std::nth_element(Values.begin(), Middle, Values.end());
-  return *Middle;
-}
-
-} // namespace
-
 std::vector<RankedServer>
 ServerRanking::rank(Instant Now,
                     const std::vector<const DiscoveredServer *> &Servers,
