Know the next server that lapses without a look at all of them

Entries that lapse now stand in a set by their time. Behaviour is unchanged; the registry's tests hold.

--- a/direct/server_registry.cpp
+++ b/direct/server_registry.cpp
@@ -30,7 +30,7 @@
     return;
   }
   Entry &Known = Found->second;
-  Known.LapsesAt = Instant::max();
+  setLapse(Server.Id, Known, Instant::max());
   if (Known.Server.Service != Server.Service) {
     leave(Known.Server);
     join(Server);
@@ -58,7 +58,7 @@
   }
   if (Found->second.LapsesAt != Instant::max())
     return;
-  Found->second.LapsesAt = Now + LapseTime;
+  setLapse(Id, Found->second, Now + LapseTime);
   Changed(Found->second.Server, ServerChange::Lapsed);
 }
 
@@ -79,15 +79,20 @@
 }
 
 void ServerRegistry::tick(Instant Now) {
-  for (auto Next = Entries.begin(); Next != Entries.end();) {
-    const auto Current = Next++;
-    if (Current->second.LapsesAt <= Now)
-      erase(Current);
-  }
+  while (!Lapsing.empty() && Lapsing.begin()->first <= Now)
+    erase(Entries.find(Lapsing.begin()->second));
+}
+
+void ServerRegistry::setLapse(const ServerName &Id, Entry &Of, Instant At) {
+  Lapsing.erase({Of.LapsesAt, Id});
+  Of.LapsesAt = At;
+  if (At != Instant::max())
+    Lapsing.emplace(At, Id);
 }
 
 void ServerRegistry::erase(std::map<ServerName, Entry>::iterator Where) {
   const DiscoveredServer Server = Where->second.Server;
+  setLapse(Server.Id, Where->second, Instant::max());
   Entries.erase(Where);
   leave(Server);
   Changed(Server, ServerChange::Gone);
@@ -142,10 +147,7 @@
 }
 
 Instant ServerRegistry::nextTick() const {
-  Instant Result = Instant::max();
-  for (const auto &[Id, Known] : Entries)
-    Result = std::min(Result, Known.LapsesAt);
-  return Result;
+  return Lapsing.empty() ? Instant::max() : Lapsing.begin()->first;
 }
 
 } // namespace mimosacart
--- a/direct/server_registry.h
+++ b/direct/server_registry.h
@@ -8,6 +8,8 @@
 #include <functional>
 #include <map>
 #include <optional>
+#include <set>
+#include <utility>
 #include <vector>
 
 namespace mimosacart {
@@ -78,10 +80,14 @@
   /// An entry of the service changed.
   void touch(const ServiceName &Service);
   void erase(std::map<ServerName, Entry>::iterator Where);
+  /// Sets when the entry is dropped; the greatest time means never.
+  void setLapse(const ServerName &Id, Entry &Of, Instant At);
 
   const ChangeHook Changed;
   std::map<ServerName, Entry> Entries;
   std::map<ServiceName, Group> ByService;
+  /// The entries that lapse, by the time at which they are dropped.
+  std::set<std::pair<Instant, ServerName>> Lapsing;
   std::uint64_t LastRevision = 0;
 };
 
