Split the codec of views from that of the other peer messages

Pings, members, soft state and summaries stand in view_codec, the checks that both files need in field_checks.h. Bytes and refusals are unchanged (PeerCodecTest).

--- a/wire/peer_codec.cpp
+++ b/wire/peer_codec.cpp
@@ -1,28 +1,14 @@
 #include "wire/peer_codec.h"
 
+#include "wire/field_checks.h"
 #include "wire/generated/peer.pb.h"
 #include "wire/table_codec.h"
+#include "wire/view_codec.h"
 
 namespace mimosacart {
 
 namespace {
 
-/// Thrown within this file only; decode() turns it into WireError::BadField.
-struct BadField {};
-
-template <typename Enum> Enum checkedEnum(std::uint32_t Value, Enum Last) {
-  if (Value > static_cast<std::uint32_t>(Last))
-    throw BadField();
-  return static_cast<Enum>(Value);
-}
-
-/// What \p Value holds; a field was impossible if it holds nothing.
-template <typename T> T required(std::optional<T> Value) {
-  if (!Value)
-    throw BadField();
-  return std::move(*Value);
-}
-
 // --- Values shared by several messages -------------------------------------
 
 void write(const HeaderField &From, wire::Header &To) {
@@ -86,45 +72,6 @@
   return std::make_shared<const Answer>(std::move(To));
 }
 
-void write(const MemberRecord &From, wire::Member &To) {
-  To.set_host(From.Host.value());
-  To.set_life(From.Life.value());
-  To.set_refutation(From.Refutation);
-  To.set_status(static_cast<std::uint32_t>(From.Status));
-  To.set_leaving(From.Leaving);
-  To.set_data_centre(From.DataCentre);
-  To.set_peer_address(From.PeerAddress);
-  To.set_caller_address(From.CallerAddress);
-  To.set_epoch(From.Epoch);
-  To.set_successor(From.Successor.value());
-  To.set_age_us(From.Age.count());
-}
-
-MemberRecord read(const wire::Member &From) {
-  MemberRecord To;
-  To.Host = HostName(From.host());
-  To.Life = Incarnation(From.life());
-  To.Refutation = From.refutation();
-  To.Status = checkedEnum(From.status(), MemberStatus::Left);
-  To.Leaving = From.leaving();
-  To.DataCentre = From.data_centre();
-  To.PeerAddress = From.peer_address();
-  To.CallerAddress = From.caller_address();
-  To.Epoch = From.epoch();
-  To.Successor = HostName(From.successor());
-  To.Age = Duration(From.age_us());
-  return To;
-}
-
-void write(const ConfigurationMark &From, wire::Mark &To) {
-  To.set_generation(From.Number.value());
-  To.set_digest(From.Digest);
-}
-
-ConfigurationMark read(const wire::Mark &From) {
-  return {Generation(From.generation()), From.digest()};
-}
-
 void write(const ServiceLoad &From, wire::ServiceLoad &To) {
   To.set_service(From.Service.value());
   To.set_free_slots(From.FreeSlots);
@@ -137,18 +84,6 @@
           From.queued()};
 }
 
-void write(const CrashNotice &From, wire::Crash &To) {
-  To.set_fingerprint(From.Fingerprint);
-  To.set_server(From.Server.value());
-  To.set_event_id(From.EventId);
-  To.set_remaining_us(From.Remaining.count());
-}
-
-CrashNotice read(const wire::Crash &From) {
-  return {From.fingerprint(), ServerName(From.server()), From.event_id(),
-          Duration(From.remaining_us())};
-}
-
 void write(const HandedClaim &From, wire::HandedClaim &To) {
   To.set_epoch(From.Epoch);
   To.set_key(From.Key);
@@ -163,79 +98,6 @@
 
 // --- One pair of functions for each message --------------------------------
 
-/// Ping and Ack have the same fields.
-template <typename Probe> void writeProbe(const Probe &From, wire::Ping &To) {
-  To.set_sequence(From.Sequence);
-  write(From.Self, *To.mutable_self());
-  To.set_state_digest(From.StateDigest);
-  if (From.Mark)
-    write(*From.Mark, *To.mutable_mark());
-  To.set_routes_version(From.Tables.Routes);
-  To.set_servers_version(From.Tables.Servers);
-}
-
-template <typename Probe> Probe readProbe(const wire::Ping &From) {
-  Probe To;
-  To.Sequence = From.sequence();
-  To.Self = read(From.self());
-  To.StateDigest = From.state_digest();
-  if (From.has_mark())
-    To.Mark = read(From.mark());
-  To.Tables = {From.routes_version(), From.servers_version()};
-  return To;
-}
-
-void write(const Ping &From, wire::Envelope &To) {
-  writeProbe(From, *To.mutable_ping());
-}
-
-void write(const Ack &From, wire::Envelope &To) {
-  writeProbe(From, *To.mutable_ack());
-}
-
-void write(const PingRequest &From, wire::Envelope &To) {
-  To.mutable_ping_request()->set_sequence(From.Sequence);
-  To.mutable_ping_request()->set_target(From.Target.value());
-}
-
-void write(const SoftState &From, wire::Envelope &Envelope) {
-  wire::SoftState &To = *Envelope.mutable_soft_state();
-  for (const MemberRecord &Record : From.Members)
-    write(Record, *To.add_members());
-  for (const DrainNotice &Notice : From.Drains) {
-    wire::Drain &Drain = *To.add_drains();
-    Drain.set_server(Notice.Server.value());
-    Drain.set_version(Notice.Version);
-    Drain.set_draining(Notice.Draining);
-    Drain.set_remaining_us(Notice.Remaining.count());
-  }
-  for (const CrashNotice &Notice : From.Crashes)
-    write(Notice, *To.add_crashes());
-  if (From.Mark)
-    write(*From.Mark, *To.mutable_mark());
-  To.set_pass_on(From.PassOn);
-}
-
-SoftState read(const wire::SoftState &From) {
-  SoftState To;
-  for (const wire::Member &Record : From.members())
-    To.Members.push_back(read(Record));
-  for (const wire::Drain &Drain : From.drains())
-    To.Drains.push_back({ServerName(Drain.server()), Drain.version(),
-                         Drain.draining(), Duration(Drain.remaining_us())});
-  for (const wire::Crash &Crash : From.crashes())
-    To.Crashes.push_back(read(Crash));
-  if (From.has_mark())
-    To.Mark = read(From.mark());
-  To.PassOn = From.pass_on();
-  return To;
-}
-
-void write(const ViewSummary &From, wire::Envelope &Envelope) {
-  wire::ViewSummary &To = *Envelope.mutable_view_summary();
-  To.mutable_buckets()->Add(From.Buckets.begin(), From.Buckets.end());
-}
-
 void write(const LoadReport &From, wire::Envelope &To) {
   wire::LoadReport &Report = *To.mutable_load_report();
   for (const ServiceLoad &Load : From.Loads)
@@ -392,14 +254,14 @@
 PeerBody readBody(const wire::Envelope &From) {
   switch (From.body_case()) {
   case wire::Envelope::kPing:
-    return readProbe<Ping>(From.ping());
+    return readPing(From.ping());
   case wire::Envelope::kAck:
-    return readProbe<Ack>(From.ack());
+    return readAck(From.ack());
   case wire::Envelope::kPingRequest:
     return PingRequest{From.ping_request().sequence(),
                        HostName(From.ping_request().target())};
   case wire::Envelope::kSoftState:
-    return read(From.soft_state());
+    return readSoftState(From.soft_state());
   case wire::Envelope::kLoadReport:
     return read(From.load_report());
   case wire::Envelope::kForwardedAttempt:
@@ -423,12 +285,12 @@
   case wire::Envelope::kHandoverAck:
     return HandoverAck{Incarnation(From.handover_ack().life())};
   case wire::Envelope::kConfigurationRequest:
-    return ConfigurationRequest{read(From.configuration_request().mark())};
+    return ConfigurationRequest{readMark(From.configuration_request().mark())};
   case wire::Envelope::kConfigurationBytes:
-    return ConfigurationBytes{read(From.configuration_bytes().mark()),
+    return ConfigurationBytes{readMark(From.configuration_bytes().mark()),
                               From.configuration_bytes().bytes()};
   case wire::Envelope::kCrashReport:
-    return CrashReport{read(From.crash_report().notice())};
+    return CrashReport{readCrash(From.crash_report().notice())};
   case wire::Envelope::kCrashReportAck:
     return CrashReportAck{From.crash_report_ack().event_id()};
   case wire::Envelope::kAttemptAnswerAck:
@@ -440,8 +302,7 @@
   case wire::Envelope::kTableRows:
     return required(readTableRows(From.table_rows()));
   case wire::Envelope::kViewSummary:
-    return ViewSummary{{From.view_summary().buckets().begin(),
-                        From.view_summary().buckets().end()}};
+    return readViewSummary(From.view_summary());
   case wire::Envelope::BODY_NOT_SET:
     break;
   }
