Log calls that end after their request, fingerprints and known crashes

Callers' view: none; the logs could not tell why a request goes on crashing servers. A call without an answer was logged only while its request was open.

Now arrived has fingerprint and crashes, server_lost_late tells of calls that outlive their request, and the gauge crash_notices counts the known crashes.

--- a/daemon/direct_metrics.cpp
+++ b/daemon/direct_metrics.cpp
@@ -71,6 +71,7 @@
   Set("hedges", Counters.Hedges);
   Set("held", Counters.Held);
   Set("open_requests", Core.openRequests());
+  Set("crash_notices", Core.crashNotices());
   Set("servers", Core.servers());
   Set("hosts", Core.hosts());
   Set("ready", Core.ready() ? 1 : 0);
--- a/direct/direct_node.cpp
+++ b/direct/direct_node.cpp
@@ -95,7 +95,10 @@
        {"route", Route->Name},
        {"service", Service.value()},
        {"configuration", std::to_string(Configuration->Version)},
-       {"allowed_ms", std::to_string(wholeMilliseconds(EffectiveTimeout))}});
+       {"allowed_ms", std::to_string(wholeMilliseconds(EffectiveTimeout))},
+       {"fingerprint", std::to_string(RoutedRequest.Fingerprint)},
+       {"crashes",
+        std::to_string(Fleet.crashes(RoutedRequest.Fingerprint))}});
   Flow.start(Now, std::move(RoutedRequest));
 }
 
--- a/direct/fleet_gossip.h
+++ b/direct/fleet_gossip.h
@@ -67,6 +67,8 @@
   /// Number of unexpired crashes that requests with \p Fingerprint are
   /// suspected of.
   std::size_t crashes(std::uint64_t Fingerprint) const;
+  /// Number of unexpired crash notices that this host holds.
+  std::size_t crashNotices() const { return Notices.crashes(Now).size(); }
 
   /// See TableSync::onStoreRead().
   void onStoreRead(Instant Now, StoreTable Table, bool HasChanges,
--- a/direct/request_flow.cpp
+++ b/direct/request_flow.cpp
@@ -19,6 +19,13 @@
          Status == StatusRequestTimeout || Status == StatusMisdirected;
 }
 
+/// Returns how a call without an answer ended, as named in logs.
+const char *describeLoss(CallEnd End) {
+  if (End == CallEnd::TimedOut)
+    return "timeout";
+  return End == CallEnd::NotSent ? "not_sent" : "broken";
+}
+
 } // namespace
 
 RequestFlow::RequestFlow(FlowPolicy Policy, RetryLimits Limits,
@@ -124,8 +131,11 @@
   Calls.erase(Found);
   recordResult(Now, Call, Result);
   const auto FoundFlow = Flows.find(Call.Request);
-  if (FoundFlow == Flows.end())
+  if (FoundFlow == Flows.end()) {
+    if (Result.End != CallEnd::Answered)
+      logLateLoss(Now, Call, Result.End);
     return;
+  }
   FlowState &Flow = FoundFlow->second;
   Flow.OpenCalls.erase(Id);
   if (Flow.OpenCalls.empty())
@@ -209,9 +219,7 @@
   log("server_lost", Flow,
       {{"server", Call.Server.value()},
        {"ran", Sent ? "unknown" : "no"},
-       {"how", End == CallEnd::TimedOut ? "timeout"
-               : Sent                   ? "broken"
-                                        : "not_sent"},
+       {"how", describeLoss(End)},
        {"took_ms", toMsText(Now - Call.StartedAt)}});
   if (Sent) {
     Flow.MayHaveRun = true;
@@ -372,6 +380,16 @@
   }
 }
 
+void RequestFlow::logLateLoss(Instant Now, const OpenCall &Call,
+                              CallEnd End) const {
+  Callbacks.Log("server_lost_late",
+                {{"route", Call.Route},
+                 {"server", Call.Server.value()},
+                 {"fingerprint", std::to_string(Call.Fingerprint)},
+                 {"how", describeLoss(End)},
+                 {"took_ms", toMsText(Now - Call.StartedAt)}});
+}
+
 void RequestFlow::log(const char *Event, const FlowState &Flow,
                       FlowFields Fields) const {
   Fields.insert(Fields.begin(),
--- a/direct/request_flow.h
+++ b/direct/request_flow.h
@@ -202,6 +202,8 @@
   RetryBudget &findBudget(const ServiceName &Service);
   Refusal makeRefusal(const FlowState &Flow, RefusalReason Reason) const;
   void log(const char *Event, const FlowState &Flow, FlowFields Fields) const;
+  /// Logs a call that ended without an answer after its request had ended.
+  void logLateLoss(Instant Now, const OpenCall &Call, CallEnd End) const;
 
   const FlowPolicy Policy;
   const RetryLimits Limits;
