Show that silent crashes and crashes after the caller left go uncounted

Callers' view: a request that crashes its servers is sent on without end when its servers fall silent or its caller leaves early.

--- a/tests/direct/flow_harness.cpp
+++ b/tests/direct/flow_harness.cpp
@@ -82,7 +82,7 @@
       std::make_shared<const CallerRequest>(std::move(Request));
   NewRequest.Arrived = Now;
   NewRequest.Deadline = Now + Route.Timeout;
-  NewRequest.Fingerprint = std::hash<std::string>()(Body) | 1U;
+  NewRequest.Fingerprint = fingerprintOf(Body);
   Flow.start(Now, NewRequest);
   return RequestId(LastRequest);
 }
--- a/tests/direct/flow_harness.h
+++ b/tests/direct/flow_harness.h
@@ -25,6 +25,10 @@
   HostRoute Route;
 
   RequestId start(const std::string &Body = "");
+  /// Fingerprint of the requests that start() makes with \p Body.
+  static std::uint64_t fingerprintOf(const std::string &Body) {
+    return std::hash<std::string>()(Body) | 1U;
+  }
   /// Answers the open call to \p Server.
   void answer(const std::string &Server, unsigned Status, bool Signed = true);
   void answerNotRun(const std::string &Server);
--- a/tests/direct/request_flow_test.cpp
+++ b/tests/direct/request_flow_test.cpp
@@ -406,5 +406,57 @@
   EXPECT_LE(Retries, 1U);
 }
 
+/// Requests that crash the servers that run them.
+class RequestFlowCrashTest : public RequestFlowTest {
+protected:
+  RequestFlowCrashTest() {
+    Harness.reportLoad("a");
+    Harness.reportLoad("b");
+  }
+
+  std::size_t crashes(const std::string &Body) {
+    return Harness.CrashCounts[FlowHarness::fingerprintOf(Body)];
+  }
+};
+
+// Guards against crashes that go uncounted because the server falls silent and
+// its call ends after the request's deadline.
+TEST_F(RequestFlowCrashTest, onCallResult_silentServerAfterDeadline_isCounted) {
+  Harness.start("copy");
+  const std::string Server = firstServer();
+  Harness.Flow.tick(Harness.Now);
+  Harness.advance(Harness.Route.Timeout + 300ms);
+  Harness.failProbes();
+  for (const std::string &Open : Harness.openCalls())
+    Harness.failCall(Open, CallEnd::TimedOut);
+  Harness.failProbes();
+  EXPECT_GE(crashes("copy"), 1U);
+}
+
+// Guards against crashes that go uncounted because the caller left before the
+// connection to the server broke.
+TEST_F(RequestFlowCrashTest, onCallResult_brokenAfterCallerLeft_isCounted) {
+  useNonIdempotentRoute();
+  const RequestId Id = Harness.start("copy");
+  Harness.Flow.abandon(Harness.Now, Id);
+  Harness.failCall(firstServer(), CallEnd::Broken);
+  Harness.failProbes();
+  EXPECT_EQ(crashes("copy"), 1U);
+}
+
+// Guards against crashes that go uncounted because the call was cancelled when
+// the caller left, and the server ended afterwards.
+TEST_F(RequestFlowCrashTest, abandon_serverStopsAnsweringAfterwards_isCounted) {
+  const RequestId Id = Harness.start("copy");
+  const std::string Server = firstServer();
+  Harness.Flow.abandon(Harness.Now, Id);
+  Harness.advance(1s);
+  Harness.start("other");
+  ASSERT_FALSE(Harness.Probes.empty());
+  Harness.failProbes();
+  EXPECT_EQ(crashes("copy"), 1U);
+  EXPECT_EQ(crashes("other"), 0U);
+}
+
 } // namespace
 } // namespace mimosacart
