Count crashes of servers that fall silent and of requests whose caller left

Callers saw: a request that ended three servers was sent to more of them.

Cause: a crash was counted only if the connection broke while the request was open. A silent server ends its call 300 ms after the request's deadline, when the request is gone; a caller that leaves drops or cancels its calls. Class: evidence that arrives after the state that it belongs to is dropped.

Change: CrashDetector keeps calls without an answer for 6 s, apart from their requests. A server that is silent, answers as another one, or has a new incarnation or no entry counts against them, once for each request. The check after a loss opens a connection of its own. A request is also checked right before each send, so that one that waited is not sent any more.

Tests of the new detector's other rules come with it.

--- /dev/null
+++ b/direct/crash_detector.cpp
@@ -0,0 +1,56 @@
+#include "direct/crash_detector.h"
+
+#include <set>
+#include <utility>
+
+namespace mimosacart {
+
+void CrashDetector::addSuspect(Instant Now, const ServerName &Server,
+                               std::uint64_t Fingerprint) {
+  std::vector<Suspect> &Calls = Suspects[Server];
+  std::erase_if(Calls, [Now](const Suspect &Call) {
+    return Now - Call.EndedAt > SuspicionLifetime;
+  });
+  if (Calls.size() == MaxSuspectsPerServer)
+    Calls.erase(Calls.begin());
+  Calls.push_back({Fingerprint, Now, false});
+}
+
+void CrashDetector::onAnswered(const ServerName &Server) {
+  const auto Found = Suspects.find(Server);
+  if (Found == Suspects.end())
+    return;
+  for (Suspect &Call : Found->second)
+    Call.ServerAnswered = true;
+}
+
+void CrashDetector::onSilent(Instant Now, const ServerName &Server) {
+  report(Now, Server, false);
+}
+
+void CrashDetector::onEnded(Instant Now, const ServerName &Server) {
+  report(Now, Server, true);
+}
+
+void CrashDetector::report(Instant Now, const ServerName &Server,
+                           bool IncludeAnswered) {
+  const auto Found = Suspects.find(Server);
+  if (Found == Suspects.end())
+    return;
+  const std::vector<Suspect> Calls = std::move(Found->second);
+  Suspects.erase(Found);
+  std::vector<Suspect> Remaining;
+  std::set<std::uint64_t> Reported;
+  for (const Suspect &Call : Calls) {
+    if (Now - Call.EndedAt > SuspicionLifetime)
+      continue;
+    if (Call.ServerAnswered && !IncludeAnswered)
+      Remaining.push_back(Call);
+    else if (Reported.insert(Call.Fingerprint).second)
+      OnCrash(Now, Call.Fingerprint, Server);
+  }
+  if (!Remaining.empty())
+    Suspects[Server] = std::move(Remaining);
+}
+
+} // namespace mimosacart
--- /dev/null
+++ b/direct/crash_detector.h
@@ -0,0 +1,59 @@
+/// \file
+/// Detects which requests may have crashed a server: those whose calls ended
+/// without an answer shortly before the server turned out to have ended.
+#pragma once
+
+#include "core/ids.h"
+#include "core/time.h"
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <vector>
+
+namespace mimosacart {
+
+/// Remembers calls without an answer for a short time and reports a crash for
+/// each of them once there is evidence that the server has ended.
+class CrashDetector {
+public:
+  /// Called once for each request that may have crashed \p Server.
+  using CrashHook = std::function<void(Instant, std::uint64_t Fingerprint,
+                                       const ServerName &Server)>;
+
+  /// Time within which the end of a server is attributed to a call without an
+  /// answer; long enough for the server's next entry in discovery.
+  static constexpr Duration SuspicionLifetime = std::chrono::seconds(6);
+  /// Calls remembered for each server; the oldest are dropped first.
+  static constexpr std::size_t MaxSuspectsPerServer = 64;
+
+  explicit CrashDetector(CrashHook OnCrash) : OnCrash(std::move(OnCrash)) {}
+
+  /// A call with \p Fingerprint ended without an answer, or was cancelled.
+  void addSuspect(Instant Now, const ServerName &Server,
+                  std::uint64_t Fingerprint);
+  /// The server answered a call or a probe, so that silence from now on says
+  /// nothing about earlier calls.
+  void onAnswered(const ServerName &Server);
+  /// The server does not answer, or another one answers at its address.
+  void onSilent(Instant Now, const ServerName &Server);
+  /// Discovery shows that the server has ended, by a new incarnation or a
+  /// missing entry, although it answers or was not asked.
+  void onEnded(Instant Now, const ServerName &Server);
+
+private:
+  struct Suspect {
+    std::uint64_t Fingerprint = 0;
+    Instant EndedAt{};
+    /// The server has answered since.
+    bool ServerAnswered = false;
+  };
+
+  /// Reports the server's recent suspects and forgets all of them.
+  void report(Instant Now, const ServerName &Server, bool IncludeAnswered);
+
+  const CrashHook OnCrash;
+  std::map<ServerName, std::vector<Suspect>> Suspects;
+};
+
+} // namespace mimosacart
--- a/direct/direct_node.cpp
+++ b/direct/direct_node.cpp
@@ -97,8 +97,7 @@
        {"configuration", std::to_string(Configuration->Version)},
        {"allowed_ms", std::to_string(wholeMilliseconds(EffectiveTimeout))},
        {"fingerprint", std::to_string(RoutedRequest.Fingerprint)},
-       {"crashes",
-        std::to_string(Fleet.crashes(RoutedRequest.Fingerprint))}});
+       {"crashes", std::to_string(Fleet.crashes(RoutedRequest.Fingerprint))}});
   Flow.start(Now, std::move(RoutedRequest));
 }
 
@@ -252,6 +251,10 @@
     ServerLoads.reset(Now, Server);
   if (Change == ServerChange::Removed)
     ServerLoads.forget(Server.Id);
+  const bool Ended = Change == ServerChange::Restarted ||
+                     (Change == ServerChange::Removed && !Server.Draining);
+  if (Ended)
+    Flow.onServerEnded(Now, Server.Id);
 }
 
 void DirectNode::tick(Instant At) {
--- a/direct/flow_types.h
+++ b/direct/flow_types.h
@@ -42,6 +42,8 @@
   DiscoveredServer Server;
   std::string Path;
   Duration Timeout{};
+  /// Whether the probe must not use an idle connection.
+  bool NewConnection = false;
 };
 
 /// Result of a request: the answer of a server or a refusal.
--- a/direct/request_flow.cpp
+++ b/direct/request_flow.cpp
@@ -34,20 +34,25 @@
                          Instant Start, Hooks Callbacks)
     : Policy(Policy), Limits(Limits), Start(Start),
       Callbacks(std::move(Callbacks)), Ranking(std::move(Ranking)),
-      Subset(std::move(Subset)), Registry(Registry), ServerLoads(ServerLoads) {}
+      Subset(std::move(Subset)), Registry(Registry), ServerLoads(ServerLoads),
+      Crashes(this->Callbacks.CrashSeen) {}
 
 void RequestFlow::start(Instant Now, FlowRequest Request) {
   const RequestId Id = Request.Id;
   findBudget(Request.Service.Name).countRequest(Now);
   FlowState &Flow = Flows[Id];
   Flow.Request = std::move(Request);
-  if (Callbacks.CrashCount(Flow.Request.Fingerprint) >= Policy.MaxCrashes) {
+  if (isQuarantined(Flow)) {
     finishWithFailure(Now, Flow, RefusalReason::Quarantined);
     return;
   }
   chooseServer(Now, Flow);
 }
 
+bool RequestFlow::isQuarantined(const FlowState &Flow) const {
+  return Callbacks.CrashCount(Flow.Request.Fingerprint) >= Policy.MaxCrashes;
+}
+
 Duration RequestFlow::findBaseline(const FlowState &Flow) const {
   return Latencies.baseline(Flow.Request.Route.Name,
                             Flow.Request.Route.Objective);
@@ -69,6 +74,14 @@
       updateTimer(Flow);
     return;
   }
+  // Another host may have reported a crash while this request waited.
+  if (isQuarantined(Flow)) {
+    if (Flow.OpenCalls.empty())
+      finishWithFailure(Now, Flow, RefusalReason::Quarantined);
+    else
+      updateTimer(Flow);
+    return;
+  }
   // A call that never reached a server does not count as an attempt.
   const bool IsRetry = Flow.Attempts > 0;
   if (IsRetry) {
@@ -87,8 +100,13 @@
   const DiscoveredServer Server = *Target.Server;
   const ServerLoadState *State = ServerLoads.find(Server.Id);
   const CallId Id(++LastCall);
-  OpenCall Call{Flow.Request.Id,          Server.Id, Flow.Request.Route.Name,
-                Flow.Request.Fingerprint, Now,       std::nullopt};
+  OpenCall Call{Flow.Request.Id,
+                Server.Id,
+                Flow.Request.Route.Name,
+                Flow.Request.Fingerprint,
+                Flow.Request.Service.HealthPath,
+                Now,
+                std::nullopt};
   if (Target.HasFreshLoad && Target.IsNominal)
     Call.BaselineFactor = Target.LatencyFactor;
   std::string LoadAge = "none";
@@ -151,8 +169,16 @@
   ServerLoads.recordEnd(Call.Server);
   if (Result.End != CallEnd::Answered) {
     ServerLoads.recordFailure(Now, Call.Server, 1);
+    if (Result.End == CallEnd::NotSent)
+      Crashes.onSilent(Now, Call.Server);
+    else
+      checkForCrash(Now, Call);
     return;
   }
+  if (Result.Answer.WrongServer)
+    Crashes.onSilent(Now, Call.Server);
+  else
+    Crashes.onAnswered(Call.Server);
   const ServerAnswer &Answer = Result.Answer;
   if (!Answer.WrongServer)
     ServerLoads.recordLoad(Now, Call.Server, Answer.Load);
@@ -230,18 +256,18 @@
     --Flow.Attempts;
     Flow.LastFailureReason = RefusalReason::ServerUnreachable;
   }
-  if (End == CallEnd::Broken)
-    probeForCrash(Call, Flow.Request.Service);
   retryOrFinish(Now, Flow);
 }
 
-/// A connection that broke during a call may mean that the request crashed the
-/// server; probes the server to check whether it still answers.
-void RequestFlow::probeForCrash(const OpenCall &Call,
-                                const ServiceSettings &Service) {
+void RequestFlow::checkForCrash(Instant Now, const OpenCall &Call) {
+  Crashes.addSuspect(Now, Call.Server, Call.Fingerprint);
   const DiscoveredServer *Server = Registry.find(Call.Server);
-  if (Server != nullptr)
-    startProbe(Service, *Server, Call.Fingerprint);
+  if (Server == nullptr) {
+    Crashes.onEnded(Now, Call.Server);
+    return;
+  }
+  // Idle connections may have gone silent by themselves.
+  startProbe(Call.HealthPath, *Server, true);
 }
 
 bool RequestFlow::canRetry(Instant Now, const FlowState &Flow) {
@@ -252,7 +278,7 @@
     return false;
   if (Flow.Request.Deadline - Now < Policy.MinRemaining)
     return false;
-  if (Callbacks.CrashCount(Flow.Request.Fingerprint) >= Policy.MaxCrashes)
+  if (isQuarantined(Flow))
     return false;
   return Flow.Attempts == 0 || findBudget(Flow.Request.Service.Name)
                                        .remaining(Now, Callbacks.HostCount(),
@@ -332,15 +358,20 @@
       {{"open_calls", std::to_string(Flow.OpenCalls.size())},
        {"after_ms", toMsText(Now - Flow.Request.Arrived)}});
   if (Flow.Request.Route.Idempotent)
-    for (const CallId Call : Flow.OpenCalls) {
-      ServerLoads.recordEnd(Calls.at(Call).Server);
-      Calls.erase(Call);
-      Callbacks.Cancel(Call);
-    }
+    for (const CallId Call : Flow.OpenCalls)
+      cancelCall(Now, Call);
   Timers.erase({Flow.WakeAt, Id});
   Flows.erase(Found);
 }
 
+void RequestFlow::cancelCall(Instant Now, CallId Id) {
+  const OpenCall &Call = Calls.at(Id);
+  ServerLoads.recordEnd(Call.Server);
+  Crashes.addSuspect(Now, Call.Server, Call.Fingerprint);
+  Calls.erase(Id);
+  Callbacks.Cancel(Id);
+}
+
 void RequestFlow::finishAtDeadline(Instant Now, FlowState &Flow) {
   finishWithFailure(Now, Flow,
                     Flow.Attempts > 0 ? RefusalReason::ServerTimeout
--- a/direct/request_flow.h
+++ b/direct/request_flow.h
@@ -4,6 +4,7 @@
 #pragma once
 
 #include "direct/baseline_latency.h"
+#include "direct/crash_detector.h"
 #include "direct/flow_types.h"
 #include "direct/retry_budget.h"
 #include "direct/server_load_table.h"
@@ -82,7 +83,8 @@
     std::function<std::size_t()> HostCount;
     /// Number of servers that requests with this fingerprint have crashed.
     std::function<std::size_t(std::uint64_t Fingerprint)> CrashCount;
-    /// A server stopped answering after a call with this fingerprint broke.
+    /// A server ended after a call with this fingerprint ended without an
+    /// answer.
     std::function<void(Instant, std::uint64_t Fingerprint, const ServerName &)>
         CrashSeen;
     FlowLogHook Log;
@@ -98,6 +100,10 @@
   void abandon(Instant Now, RequestId Id);
   void onCallResult(Instant Now, CallId Id, const ServerCallResult &Result);
   void onProbeResult(Instant Now, CallId Id, const ProbeResult &Result);
+  /// Discovery shows that the server has ended without a planned shutdown.
+  void onServerEnded(Instant Now, const ServerName &Server) {
+    Crashes.onEnded(Now, Server);
+  }
   void tick(Instant Now);
   Instant nextTick() const;
 
@@ -142,6 +148,7 @@
     ServerName Server;
     std::string Route;
     std::uint64_t Fingerprint = 0;
+    std::string HealthPath;
     Instant StartedAt{};
     /// Expected latency as a multiple of the baseline; set if the server's load
     /// was fresh and the server nominal, so that the answer updates the
@@ -150,9 +157,6 @@
   };
   struct OpenProbe {
     ServerName Server;
-    /// Fingerprint of the request that may have crashed the server; 0 for a
-    /// probe that reads the load.
-    std::uint64_t CrashFingerprint = 0;
     std::vector<RequestId> WaitingRequests;
   };
 
@@ -163,8 +167,8 @@
   /// Returns the load probe of the server that is in flight, or starts one.
   CallId findOrStartProbe(const ServiceSettings &Service,
                           const DiscoveredServer &Server);
-  CallId startProbe(const ServiceSettings &Service,
-                    const DiscoveredServer &Server, std::uint64_t Fingerprint);
+  CallId startProbe(const std::string &HealthPath,
+                    const DiscoveredServer &Server, bool NewConnection);
   /// Called when no server is expected to meet the objective. Holds the request
   /// for a while, then sends it to \p Available if the deadline can still be
   /// met, else refuses it. \p Available is null if every server is full.
@@ -192,11 +196,16 @@
   /// nothing while another call is open or a server is being selected.
   void retryOrFinish(Instant Now, FlowState &Flow);
   bool canRetry(Instant Now, const FlowState &Flow);
+  void cancelCall(Instant Now, CallId Id);
   void finishAtDeadline(Instant Now, FlowState &Flow);
   void finish(Instant Now, FlowState &Flow, AnswerPtr Reply,
               const ServerName &Server, Refusal Refused);
   void finishWithFailure(Instant Now, FlowState &Flow, RefusalReason Reason);
-  void probeForCrash(const OpenCall &Call, const ServiceSettings &Service);
+  /// Checks whether the server still answers after a call that may have crashed
+  /// it.
+  void checkForCrash(Instant Now, const OpenCall &Call);
+  /// Whether the request has crashed so many servers that it must not be sent.
+  bool isQuarantined(const FlowState &Flow) const;
   void updateTimer(FlowState &Flow);
   Duration findBaseline(const FlowState &Flow) const;
   RetryBudget &findBudget(const ServiceName &Service);
@@ -214,6 +223,7 @@
   ServerRegistry &Registry;
   ServerLoadTable &ServerLoads;
   BaselineLatency Latencies;
+  CrashDetector Crashes;
   std::unordered_map<RequestId, FlowState> Flows;
   std::unordered_map<CallId, OpenCall> Calls;
   std::unordered_map<CallId, OpenProbe> Probes;
--- a/direct/request_flow_choice.cpp
+++ b/direct/request_flow_choice.cpp
@@ -127,18 +127,18 @@
   const auto Found = ProbesByServer.find(Server.Id);
   if (Found != ProbesByServer.end())
     return Found->second;
-  const CallId Id = startProbe(Service, Server, 0);
+  const CallId Id = startProbe(Service.HealthPath, Server, false);
   ProbesByServer[Server.Id] = Id;
   return Id;
 }
 
-CallId RequestFlow::startProbe(const ServiceSettings &Service,
+CallId RequestFlow::startProbe(const std::string &HealthPath,
                                const DiscoveredServer &Server,
-                               std::uint64_t Fingerprint) {
+                               bool NewConnection) {
   const CallId Id(++LastCall);
-  Probes[Id] = {Server.Id, Fingerprint, {}};
+  Probes[Id] = {Server.Id, {}};
   ++Counters.Probes;
-  Callbacks.Probe({Id, Server, Service.HealthPath, Policy.ProbeTimeout});
+  Callbacks.Probe({Id, Server, HealthPath, Policy.ProbeTimeout, NewConnection});
   return Id;
 }
 
@@ -223,12 +223,12 @@
   if (!Result.Answered || WrongServer) {
     ServerLoads.recordFailure(
         Now, Probe.Server, WrongServer ? Policy.WrongServerFailureWeight : 1);
+    Crashes.onSilent(Now, Probe.Server);
   } else {
+    Crashes.onAnswered(Probe.Server);
     ServerLoads.recordLoad(Now, Probe.Server, Result.Load);
     ServerLoads.recordHealth(Probe.Server, Result.Healthy);
   }
-  if (Probe.CrashFingerprint != 0 && !Result.Answered)
-    Callbacks.CrashSeen(Now, Probe.CrashFingerprint, Probe.Server);
   for (const RequestId Waiter : Probe.WaitingRequests) {
     const auto FoundFlow = Flows.find(Waiter);
     if (FoundFlow == Flows.end())
--- a/tests/direct/request_flow_test.cpp
+++ b/tests/direct/request_flow_test.cpp
@@ -458,5 +458,47 @@
   EXPECT_EQ(crashes("other"), 0U);
 }
 
+// Guards against uncounted crashes of a server that is back, and answers,
+// before its silence is noticed.
+TEST_F(RequestFlowCrashTest, onServerEnded_silentServerCameBack_isCounted) {
+  Harness.start("copy");
+  const std::string Server = firstServer();
+  Harness.advance(Harness.Route.Timeout + 300ms);
+  Harness.failCall(Server, CallEnd::TimedOut);
+  Harness.answerProbes(IdleLoad);
+  EXPECT_EQ(crashes("copy"), 0U);
+  Harness.Flow.onServerEnded(Harness.Now, ServerName(Server));
+  Harness.Flow.onServerEnded(Harness.Now, ServerName(Server));
+  EXPECT_EQ(crashes("copy"), 1U);
+}
+
+// Guards against blaming a request whose server answered after it and ended
+// only then.
+TEST_F(RequestFlowCrashTest, onProbeResult_serverAnsweredSince_isNotCounted) {
+  const RequestId Id = Harness.start("copy");
+  const std::string Server = firstServer();
+  Harness.Flow.abandon(Harness.Now, Id);
+  Harness.advance(1s);
+  Harness.start("other");
+  Harness.answerProbes(IdleLoad);
+  Harness.advance(1s);
+  Harness.start("third");
+  Harness.failProbes();
+  EXPECT_EQ(crashes("copy"), 0U);
+}
+
+// Guards against sending a request that was quarantined while it waited.
+TEST_F(RequestFlowCrashTest, start_quarantinedWhileHeld_isNotSent) {
+  Harness.advance(1s);
+  const RequestId Id = Harness.start("copy");
+  Harness.answerProbes(FullWithQueueLoad);
+  Harness.CrashCounts[FlowHarness::fingerprintOf("copy")] = 3;
+  Harness.advance(60ms);
+  Harness.answerProbes(IdleLoad);
+  EXPECT_TRUE(Harness.openCalls().empty());
+  ASSERT_TRUE(Harness.ended(Id));
+  EXPECT_EQ(Harness.result(Id).Refused.Reason, RefusalReason::Quarantined);
+}
+
 } // namespace
 } // namespace mimosacart
