--- a/daemon/direct_metrics.cpp
+++ b/daemon/direct_metrics.cpp
@@ -70,6 +70,7 @@
   Set("repeats", Counters.Retries);
   Set("hedges", Counters.Hedges);
   Set("held", Counters.Held);
+  Set("invalid_wishes", Counters.InvalidWishes);
   Set("open_requests", Core.openRequests());
   Set("crash_notices", Core.crashNotices());
   Set("servers", Core.servers());
--- a/direct/discovered_server.h
+++ b/direct/discovered_server.h
@@ -48,10 +48,22 @@
   friend bool operator==(const ServerLoad &, const ServerLoad &) = default;
 };
 
+/// What a server says in an answer about the requests that it takes.
+struct ServerWishes {
+  /// Requests a second that the server takes from all hosts together; not set
+  /// if it names no limit.
+  std::optional<double> RequestsPerSecond;
+  /// A value could not be read and is ignored.
+  bool Invalid = false;
+
+  friend bool operator==(const ServerWishes &, const ServerWishes &) = default;
+};
+
 /// A complete answer of a server to a request.
 struct ServerAnswer {
   AnswerPtr Reply;
   std::optional<ServerLoad> Load;
+  ServerWishes Wishes;
   /// The server states that it did not run the request.
   bool NotRun = false;
   /// The address belongs to another server now, which did not run it either.
@@ -77,6 +89,7 @@
   /// Server that answered; empty if the answer does not name it.
   ServerName Server;
   std::optional<ServerLoad> Load;
+  ServerWishes Wishes;
 };
 
 } // namespace mimosacart
--- a/direct/flow_types.h
+++ b/direct/flow_types.h
@@ -75,6 +75,8 @@
   std::uint64_t Hedges = 0;
   /// Requests that were held because no server could meet their objective.
   std::uint64_t Held = 0;
+  /// Answers in which a server's limit or another wish could not be read.
+  std::uint64_t InvalidWishes = 0;
 };
 
 /// Formats \p Value for a log field, in whole milliseconds.
--- a/direct/request_flow.cpp
+++ b/direct/request_flow.cpp
@@ -180,8 +180,11 @@
   else
     Crashes.onAnswered(Call.Server);
   const ServerAnswer &Answer = Result.Answer;
-  if (!Answer.WrongServer)
+  if (!Answer.WrongServer) {
     ServerLoads.recordLoad(Now, Call.Server, Answer.Load);
+    const bool Proper = isSuccess(Answer.Reply->Status) && Answer.Signed;
+    recordWishes(Now, Call.Server, Answer.Wishes, Proper);
+  }
   if (Answer.WrongServer)
     ServerLoads.recordFailure(Now, Call.Server,
                               Policy.WrongServerFailureWeight);
@@ -193,6 +196,26 @@
     recordLatency(Now, Call, Answer);
 }
 
+/// \p Proper is whether the answer would name the server's limit if there were
+/// one; refusals, errors and answers to probes may lack it.
+void RequestFlow::recordWishes(Instant Now, const ServerName &Server,
+                               const ServerWishes &Wishes, bool Proper) {
+  if (Wishes.Invalid) {
+    ++Counters.InvalidWishes;
+    Callbacks.Log("server_wish_unusable", {{"server", Server.value()}});
+  }
+  if (!Wishes.RequestsPerSecond && (!Proper || Wishes.Invalid))
+    return;
+  if (!Constraints.setLimit(Now, Server, Wishes.RequestsPerSecond))
+    return;
+  Callbacks.Log("server_limit",
+                {{"server", Server.value()},
+                 {"from", Proper ? "answer" : "probe_or_error"},
+                 {"per_second", Wishes.RequestsPerSecond
+                                    ? std::to_string(*Wishes.RequestsPerSecond)
+                                    : "none"}});
+}
+
 /// Updates the route's baseline, unless the server slowed down during the call.
 void RequestFlow::recordLatency(Instant Now, const OpenCall &Call,
                                 const ServerAnswer &Answer) {
--- a/direct/request_flow.h
+++ b/direct/request_flow.h
@@ -7,6 +7,7 @@
 #include "direct/crash_detector.h"
 #include "direct/flow_types.h"
 #include "direct/retry_budget.h"
+#include "direct/server_constraints.h"
 #include "direct/server_load_table.h"
 #include "direct/server_ranking.h"
 #include "direct/server_registry.h"
@@ -190,6 +191,8 @@
                     CallEnd End);
   void recordResult(Instant Now, const OpenCall &Call,
                     const ServerCallResult &Result);
+  void recordWishes(Instant Now, const ServerName &Server,
+                    const ServerWishes &Wishes, bool Proper);
   void recordLatency(Instant Now, const OpenCall &Call,
                      const ServerAnswer &Answer);
   /// Retries on another server if allowed, else finishes the request. Does
@@ -224,6 +227,7 @@
   ServerLoadTable &ServerLoads;
   BaselineLatency Latencies;
   CrashDetector Crashes;
+  ServerConstraints Constraints;
   std::unordered_map<RequestId, FlowState> Flows;
   std::unordered_map<CallId, OpenCall> Calls;
   std::unordered_map<CallId, OpenProbe> Probes;
--- a/direct/request_flow_choice.cpp
+++ b/direct/request_flow_choice.cpp
@@ -228,6 +228,7 @@
     Crashes.onAnswered(Probe.Server);
     ServerLoads.recordLoad(Now, Probe.Server, Result.Load);
     ServerLoads.recordHealth(Probe.Server, Result.Healthy);
+    recordWishes(Now, Probe.Server, Result.Wishes, false);
   }
   for (const RequestId Waiter : Probe.WaitingRequests) {
     const auto FoundFlow = Flows.find(Waiter);
