--- a/tests/direct/flow_harness.cpp
+++ b/tests/direct/flow_harness.cpp
@@ -100,11 +100,12 @@
 }
 
 void FlowHarness::answer(const std::string &Server, unsigned Status,
-                         bool Signed) {
+                         bool Signed, const ServerWishes &Wishes) {
   ServerCallResult Result{CallEnd::Answered, {}};
   Result.Answer.Reply =
       std::make_shared<const Answer>(Answer{Status, {}, Server});
   Result.Answer.Signed = Signed;
+  Result.Answer.Wishes = Wishes;
   Flow.onCallResult(Now, takeCall(Server).Id, Result);
 }
 
--- a/tests/direct/flow_harness.h
+++ b/tests/direct/flow_harness.h
@@ -30,7 +30,8 @@
     return std::hash<std::string>()(Body) | 1U;
   }
   /// Answers the open call to \p Server.
-  void answer(const std::string &Server, unsigned Status, bool Signed = true);
+  void answer(const std::string &Server, unsigned Status, bool Signed = true,
+              const ServerWishes &Wishes = {});
   void answerNotRun(const std::string &Server);
   void answerWrongServer(const std::string &Server);
   /// Ends the open call to \p Server without an answer.
--- a/tests/direct/request_flow_test.cpp
+++ b/tests/direct/request_flow_test.cpp
@@ -500,5 +500,26 @@
   EXPECT_EQ(Harness.result(Id).Refused.Reason, RefusalReason::Quarantined);
 }
 
+// Guards against sending a server more than the limit that it names.
+TEST(RequestFlowLimitTest, start_serverNamesLimit_getsNoMoreThanAllowed) {
+  constexpr double Limit = 3;
+  constexpr double Allowed = 1.5 * Limit * 4 + 5;
+  FlowHarness Harness;
+  Harness.addServer("a", 50);
+  Harness.reportLoad("a");
+  Harness.start();
+  Harness.answer("a", 200, true, {Limit, false});
+  unsigned Calls = 0;
+  for (Instant End = Harness.Now + 4s; Harness.Now < End;) {
+    Harness.reportLoad("a");
+    Harness.start();
+    Harness.advance(20ms);
+    for (; !Harness.Calls.empty(); ++Calls)
+      Harness.answer("a", 200, true, {Limit, false});
+  }
+  EXPECT_LE(Calls, Allowed);
+  EXPECT_GE(Calls, Limit * 4 / 2);
+}
+
 } // namespace
 } // namespace mimosacart
