Keep the limits that servers name, shared among hosts without messages

Callers saw: nothing yet; servers got up to twice what they had asked for.

Cause: Server-Limit was not known; no class of code could have kept it, since hosts bound only retries and connections. Class: a limit on the sum over hosts that no host takes part in.

Change: ServerConstraints holds each server's limit and this host's part of it, a token bucket that starts empty. The part is equal for the first hosts in an order by hash of server and peer address; while the limit is low compared with the fleet, the others send nothing, so that single requests of many hosts do not add up. Every send counts, retries and hedges too. A limit is dropped once a proper answer comes without it; hosts without a part ask by a probe. A request that no server may take within the hold is refused at once, with the time to the next possible send as Retry-After.

--- a/daemon/direct_metrics.cpp
+++ b/daemon/direct_metrics.cpp
@@ -73,6 +73,7 @@
   Set("invalid_wishes", Counters.InvalidWishes);
   Set("open_requests", Core.openRequests());
   Set("crash_notices", Core.crashNotices());
+  Set("limited_servers", Core.limitedServers());
   Set("servers", Core.servers());
   Set("hosts", Core.hosts());
   Set("ready", Core.ready() ? 1 : 0);
--- a/direct/direct_node.cpp
+++ b/direct/direct_node.cpp
@@ -53,6 +53,9 @@
   Result.CrashCount = [this](std::uint64_t Fingerprint) {
     return Fleet.crashes(Fingerprint);
   };
+  Result.Position = [this](const ServerName &Server) {
+    return Fleet.position(Server.value());
+  };
   Result.CrashSeen = [this](Instant At, std::uint64_t Fingerprint,
                             const ServerName &Server) {
     Callbacks.Log("crash_seen", {{"fingerprint", std::to_string(Fingerprint)},
@@ -251,10 +254,7 @@
     ServerLoads.reset(Now, Server);
   if (Change == ServerChange::Removed)
     ServerLoads.forget(Server.Id);
-  const bool Ended = Change == ServerChange::Restarted ||
-                     (Change == ServerChange::Removed && !Server.Draining);
-  if (Ended)
-    Flow.onServerEnded(Now, Server.Id);
+  Flow.onServerChanged(Now, Server, Change);
 }
 
 void DirectNode::tick(Instant At) {
--- a/direct/fleet_gossip.cpp
+++ b/direct/fleet_gossip.cpp
@@ -1,5 +1,7 @@
 #include "direct/fleet_gossip.h"
 
+#include "core/hash.h"
+
 #include <algorithm>
 #include <type_traits>
 #include <utility>
@@ -91,6 +93,9 @@
   if (!std::exchange(MembersChanged, false))
     return;
   std::vector<MemberRecord> FleetMembers = Members.reachablePeers();
+  PeerAddresses.clear();
+  for (const MemberRecord &Peer : FleetMembers)
+    PeerAddresses.insert(Peer.PeerAddress);
   Dissemination = DisseminationPlan(Settings.Self.DataCentre, FleetMembers);
   FleetMembers.push_back(Members.self());
   Sync.setMembers(FleetMembers);
@@ -166,6 +171,21 @@
   return Members.countReachablePeers() + 1;
 }
 
+/// The order follows from peer addresses, which a host keeps when it restarts.
+HostPosition FleetGossip::position(const std::string &Key) const {
+  const std::uint64_t Seed = stableHash(Key);
+  const std::string &Self = Settings.Self.PeerAddress;
+  const std::uint64_t OwnHash = stableHash(Self, Seed);
+  HostPosition Result;
+  for (const std::string &Address : PeerAddresses) {
+    if (Address == Self)
+      continue;
+    ++Result.Hosts;
+    Result.Rank += stableHash(Address, Seed) < OwnHash ? 1 : 0;
+  }
+  return Result;
+}
+
 void FleetGossip::addCrash(Instant At, std::uint64_t Fingerprint,
                            const ServerName &Server) {
   Now = At;
--- a/direct/fleet_gossip.h
+++ b/direct/fleet_gossip.h
@@ -8,12 +8,14 @@
 #include "core/membership.h"
 #include "direct/dissemination_plan.h"
 #include "direct/flow_types.h"
+#include "direct/server_constraints.h"
 #include "direct/table_sync.h"
 
 #include <functional>
 #include <map>
 #include <optional>
 #include <random>
+#include <set>
 #include <vector>
 
 namespace mimosacart {
@@ -60,6 +62,9 @@
   /// Number of reachable hosts in the fleet, including this one.
   std::size_t hosts() const;
 
+  /// This host's position among all hosts in an order that depends on \p Key.
+  HostPosition position(const std::string &Key) const;
+
   /// Records that a request with \p Fingerprint crashed \p Server, and sends
   /// the notice to all hosts.
   void addCrash(Instant Now, std::uint64_t Fingerprint,
@@ -137,6 +142,9 @@
   /// No summary of this host's view is sent before this time.
   std::optional<Instant> NextSummaryAt;
   DisseminationPlan Dissemination;
+  /// Addresses of the reachable peers, each once although a host that has
+  /// restarted may be known under two names.
+  std::set<std::string> PeerAddresses;
   TableSync Sync;
   Membership Members;
 };
--- a/direct/request_flow.cpp
+++ b/direct/request_flow.cpp
@@ -35,7 +35,8 @@
     : Policy(Policy), Limits(Limits), Start(Start),
       Callbacks(std::move(Callbacks)), Ranking(std::move(Ranking)),
       Subset(std::move(Subset)), Registry(Registry), ServerLoads(ServerLoads),
-      Crashes(this->Callbacks.CrashSeen) {}
+      Crashes(this->Callbacks.CrashSeen),
+      Constraints(this->Callbacks.Position) {}
 
 void RequestFlow::start(Instant Now, FlowRequest Request) {
   const RequestId Id = Request.Id;
@@ -134,6 +135,7 @@
   ++Flow.Attempts;
   ++Counters.Calls;
   ServerLoads.recordStart(Server.Id);
+  Constraints.recordSend(Now, Server.Id);
   scheduleHedge(Now, Flow);
   updateTimer(Flow);
   Callbacks.Call({Id, Server, Flow.Request.Request, Remaining,
@@ -329,10 +331,11 @@
   const bool MayHaveRun = Flow.MayHaveRun || !Flow.OpenCalls.empty();
   if (MayHaveRun)
     return {RefusalOutcome::Unknown, Reason, Duration::zero()};
+  const Duration RetryAfter = Reason == RefusalReason::ServerRefused
+                                  ? Policy.RetryAfterServerRefusal
+                                  : Policy.RetryAfterOverload;
   return {RefusalOutcome::NotRun, Reason,
-          Reason == RefusalReason::ServerRefused
-              ? Policy.RetryAfterServerRefusal
-              : Policy.RetryAfterOverload};
+          std::clamp(Flow.ServersBusyFor, RetryAfter, Policy.MaxRetryAfter)};
 }
 
 void RequestFlow::finishWithFailure(Instant Now, FlowState &Flow,
@@ -387,6 +390,16 @@
   Flows.erase(Found);
 }
 
+void RequestFlow::onServerChanged(Instant Now, const DiscoveredServer &Server,
+                                  ServerChange Change) {
+  if (Change != ServerChange::Restarted && Change != ServerChange::Removed)
+    return;
+  Constraints.forget(Server.Id);
+  const bool Planned = Change == ServerChange::Removed && Server.Draining;
+  if (!Planned)
+    Crashes.onEnded(Now, Server.Id);
+}
+
 void RequestFlow::cancelCall(Instant Now, CallId Id) {
   const OpenCall &Call = Calls.at(Id);
   ServerLoads.recordEnd(Call.Server);
--- a/direct/request_flow.h
+++ b/direct/request_flow.h
@@ -46,6 +46,8 @@
   /// and when the last server refused the request.
   Duration RetryAfterOverload = std::chrono::milliseconds(80);
   Duration RetryAfterServerRefusal = std::chrono::milliseconds(25);
+  /// Longest Retry-After, since servers may drop their limits at any time.
+  Duration MaxRetryAfter = std::chrono::milliseconds(1000);
   /// An idempotent request is hedged this many baseline latencies after its
   /// call started, or earlier if it would miss the objective otherwise.
   double HedgeDelayFactor = 1.7;
@@ -84,6 +86,8 @@
     std::function<std::size_t()> HostCount;
     /// Number of servers that requests with this fingerprint have crashed.
     std::function<std::size_t(std::uint64_t Fingerprint)> CrashCount;
+    /// This host's position for a share of a server's limit.
+    ServerConstraints::PositionHook Position;
     /// A server ended after a call with this fingerprint ended without an
     /// answer.
     std::function<void(Instant, std::uint64_t Fingerprint, const ServerName &)>
@@ -101,14 +105,15 @@
   void abandon(Instant Now, RequestId Id);
   void onCallResult(Instant Now, CallId Id, const ServerCallResult &Result);
   void onProbeResult(Instant Now, CallId Id, const ProbeResult &Result);
-  /// Discovery shows that the server has ended without a planned shutdown.
-  void onServerEnded(Instant Now, const ServerName &Server) {
-    Crashes.onEnded(Now, Server);
-  }
+  /// Discovery shows a change of the server.
+  void onServerChanged(Instant Now, const DiscoveredServer &Server,
+                       ServerChange Change);
   void tick(Instant Now);
   Instant nextTick() const;
 
   std::size_t openRequests() const { return Flows.size(); }
+  /// Number of servers that name a limit on the requests of all hosts.
+  std::size_t limitedServers() const { return Constraints.limitedServers(); }
   const FlowCounters &counters() const { return Counters; }
 
 private:
@@ -134,6 +139,8 @@
     /// The request has waited for a server that can meet the objective.
     bool WasHeld = false;
     RefusalReason LastFailureReason = RefusalReason::None;
+    /// Least time after which a caller may come back, if servers named one.
+    Duration ServersBusyFor{};
     /// Latest error answer from a server; forwarded to the caller if no other
     /// attempt succeeds.
     AnswerPtr ErrorAnswer;
@@ -162,7 +169,21 @@
   };
 
   void chooseServer(Instant Now, FlowState &Flow);
-  std::vector<const DiscoveredServer *> findCandidates(const FlowState &Flow);
+  /// Servers that a request may be sent to now.
+  struct Candidates {
+    std::vector<const DiscoveredServer *> Servers;
+    /// If there are none, when the first of the others may be used.
+    Instant NextSendableAt = Instant::max();
+  };
+  Candidates findCandidates(Instant Now, const FlowState &Flow);
+  /// Moves the servers that may be used now from \p Usable to \p Result.
+  void addSendable(Instant Now, const FlowState &Flow,
+                   const std::vector<const DiscoveredServer *> &Usable,
+                   Candidates &Result);
+  /// Called when no server may be used before \p NextSendableAt. Waits for it,
+  /// or refuses the request if that is too late.
+  void waitForServer(Instant Now, FlowState &Flow, Instant NextSendableAt);
+  static Instant holdUntil(const FlowPolicy &Policy, const FlowState &Flow);
   bool sendProbes(Instant Now, FlowState &Flow,
                   const std::vector<RankedServer> &RankedServers);
   /// Returns the load probe of the server that is in flight, or starts one.
--- a/direct/request_flow_choice.cpp
+++ b/direct/request_flow_choice.cpp
@@ -11,15 +11,13 @@
 /// probes. The request is held if no server is expected to meet the objective.
 void RequestFlow::chooseServer(Instant Now, FlowState &Flow) {
   Flow.ChoosingServer = true;
-  const std::vector<const DiscoveredServer *> Candidates = findCandidates(Flow);
-  if (Candidates.empty()) {
-    Flow.ChoosingServer = false;
-    if (Flow.OpenCalls.empty())
-      finishWithFailure(Now, Flow, RefusalReason::NoServer);
+  const auto [Servers, NextSendableAt] = findCandidates(Now, Flow);
+  if (Servers.empty()) {
+    waitForServer(Now, Flow, NextSendableAt);
     return;
   }
   const std::vector<RankedServer> RankedServers =
-      Ranking.rank(Now, Candidates, ServerLoads, findBaseline(Flow));
+      Ranking.rank(Now, Servers, ServerLoads, findBaseline(Flow));
   const RankedServer &Best = RankedServers.front();
   if (Best.HasFreshLoad && Best.IsNominal) {
     sendCall(Now, Flow, Best);
@@ -68,24 +66,58 @@
 /// Returns the servers that the request has not been sent to. In the first
 /// probe rounds these are the ones in this host's subset; in later rounds, or
 /// if the subset has none left, all usable ones.
-std::vector<const DiscoveredServer *>
-RequestFlow::findCandidates(const FlowState &Flow) {
+RequestFlow::Candidates RequestFlow::findCandidates(Instant Now,
+                                                    const FlowState &Flow) {
   const ServiceName &Service = Flow.Request.Service.Name;
-  const auto Untried =
-      [&Flow](const std::vector<const DiscoveredServer *> &Servers) {
-        std::vector<const DiscoveredServer *> Result = Servers;
-        std::erase_if(Result, [&Flow](const DiscoveredServer *Server) {
-          return Flow.TriedServers.contains(Server->Id);
-        });
-        return Result;
-      };
-  if (Flow.ProbeRounds < Policy.PreferredProbeRounds) {
-    auto Result =
-        Untried(Subset.preferred(Registry, Service, Callbacks.HostCount()));
-    if (!Result.empty())
-      return Result;
+  Candidates Result;
+  if (Flow.ProbeRounds < Policy.PreferredProbeRounds)
+    addSendable(Now, Flow,
+                Subset.preferred(Registry, Service, Callbacks.HostCount()),
+                Result);
+  if (Result.Servers.empty())
+    addSendable(Now, Flow, Registry.usable(Service), Result);
+  return Result;
+}
+
+void RequestFlow::addSendable(
+    Instant Now, const FlowState &Flow,
+    const std::vector<const DiscoveredServer *> &Usable, Candidates &Result) {
+  for (const DiscoveredServer *Server : Usable) {
+    if (Flow.TriedServers.contains(Server->Id))
+      continue;
+    const Instant SendableAt = Constraints.sendableAt(Now, Server->Id);
+    if (SendableAt <= Now) {
+      Result.Servers.push_back(Server);
+      continue;
+    }
+    Result.NextSendableAt = std::min(Result.NextSendableAt, SendableAt);
+    if (Constraints.needsRefresh(Now, Server->Id))
+      findOrStartProbe(Flow.Request.Service, *Server);
   }
-  return Untried(Registry.usable(Service));
+}
+
+void RequestFlow::waitForServer(Instant Now, FlowState &Flow,
+                                Instant NextSendableAt) {
+  if (!Flow.OpenCalls.empty()) {
+    Flow.ChoosingServer = false;
+    updateTimer(Flow);
+    return;
+  }
+  if (NextSendableAt <= holdUntil(Policy, Flow)) {
+    Flow.ChooseAgainAt = NextSendableAt;
+    updateTimer(Flow);
+    return;
+  }
+  Flow.ChoosingServer = false;
+  if (NextSendableAt != Instant::max())
+    Flow.ServersBusyFor = NextSendableAt - Now;
+  finishWithFailure(Now, Flow, RefusalReason::NoServer);
+}
+
+Instant RequestFlow::holdUntil(const FlowPolicy &Policy,
+                               const FlowState &Flow) {
+  return Flow.Request.Arrived +
+         scaled(Flow.Request.Route.Objective, Policy.MaxHoldShare);
 }
 
 bool RequestFlow::meetsObjective(Instant Now, const FlowState &Flow,
@@ -144,9 +176,7 @@
 
 void RequestFlow::holdRequest(Instant Now, FlowState &Flow,
                               const RankedServer *Available) {
-  const Instant HoldUntil =
-      Flow.Request.Arrived +
-      scaled(Flow.Request.Route.Objective, Policy.MaxHoldShare);
+  const Instant HoldUntil = holdUntil(Policy, Flow);
   if (Now < HoldUntil) {
     if (!Flow.WasHeld) {
       ++Counters.Held;
--- a/tests/direct/flow_harness.cpp
+++ b/tests/direct/flow_harness.cpp
@@ -44,6 +44,7 @@
       throw std::logic_error("request finished twice");
   };
   Result.HostCount = [] { return std::size_t{1}; };
+  Result.Position = [](const ServerName &) { return HostPosition{}; };
   Result.CrashCount = [this](std::uint64_t Fingerprint) {
     return CrashCounts[Fingerprint];
   };
@@ -131,7 +132,7 @@
   const std::vector<DirectProbe> Open = std::move(Probes);
   Probes.clear();
   for (const DirectProbe &Probe : Open)
-    Flow.onProbeResult(Now, Probe.Id, {true, true, Probe.Server.Id, Load});
+    Flow.onProbeResult(Now, Probe.Id, {true, true, Probe.Server.Id, Load, {}});
 }
 
 void FlowHarness::failProbes() {
--- a/tests/direct/request_flow_test.cpp
+++ b/tests/direct/request_flow_test.cpp
@@ -460,15 +460,16 @@
 
 // Guards against uncounted crashes of a server that is back, and answers,
 // before its silence is noticed.
-TEST_F(RequestFlowCrashTest, onServerEnded_silentServerCameBack_isCounted) {
+TEST_F(RequestFlowCrashTest, onServerChanged_silentServerCameBack_isCounted) {
   Harness.start("copy");
   const std::string Server = firstServer();
   Harness.advance(Harness.Route.Timeout + 300ms);
   Harness.failCall(Server, CallEnd::TimedOut);
   Harness.answerProbes(IdleLoad);
   EXPECT_EQ(crashes("copy"), 0U);
-  Harness.Flow.onServerEnded(Harness.Now, ServerName(Server));
-  Harness.Flow.onServerEnded(Harness.Now, ServerName(Server));
+  const DiscoveredServer Restarted = *Harness.Registry.find(ServerName(Server));
+  Harness.Flow.onServerChanged(Harness.Now, Restarted, ServerChange::Restarted);
+  Harness.Flow.onServerChanged(Harness.Now, Restarted, ServerChange::Restarted);
   EXPECT_EQ(crashes("copy"), 1U);
 }
 
@@ -521,5 +522,31 @@
   EXPECT_GE(Calls, Limit * 4 / 2);
 }
 
+// Guards against holding a request that no server may take in time.
+TEST(RequestFlowLimitTest, start_nextRequestAllowedTooLate_isRefusedAtOnce) {
+  FlowHarness Harness;
+  Harness.addServer("a", 50);
+  Harness.reportLoad("a");
+  Harness.start();
+  Harness.answer("a", 200, true, {1.0, false});
+  const RequestId Id = Harness.start();
+  ASSERT_TRUE(Harness.ended(Id));
+  EXPECT_EQ(Harness.result(Id).Refused.Outcome, RefusalOutcome::NotRun);
+  EXPECT_GE(Harness.result(Id).Refused.RetryAfter, 900ms);
+}
+
+// Guards against keeping a limit that the server does not name any more.
+TEST(RequestFlowLimitTest, onAnswer_limitNoLongerNamed_isDropped) {
+  FlowHarness Harness;
+  Harness.addServer("a", 50);
+  Harness.reportLoad("a");
+  Harness.start();
+  Harness.start();
+  Harness.answer("a", 200, true, {1.0, false});
+  Harness.answer("a", 200);
+  Harness.start();
+  EXPECT_EQ(Harness.openCalls().size(), 1U);
+}
+
 } // namespace
 } // namespace mimosacart
