Bound what one odd entry in the store can do to a host

Reported by operators of like systems: one entry, deeply nested, with a number too large or a port out of range, ended hosts or stopped them from following.

Here: a value whose base64 cannot be read made the whole answer of the store malformed, so that no host followed the table until the entry changed; an address without a usable port was called and failed each time; the reason logged for a nested value repeated it whole (60 kB) and was written by a recursion as deep as its nesting. Hosts did not end at the 30,000 levels that a row of 64 kB holds. Class: a check on the whole where the parts stand alone.

--- a/tests/platform/row_codec_test.cpp
+++ b/tests/platform/row_codec_test.cpp
@@ -175,5 +175,46 @@
   EXPECT_EQ(readHost({"h", 1, false, "x"}), std::nullopt);
 }
 
+// Guards against an entry of another writer that ends the process by deep
+// nesting, in any field.
+TEST(RowCodecTest, readServer_deeplyNestedField_isUnusable) {
+  constexpr std::size_t Depth = 30'000;
+  const std::string Nested = std::string(Depth, '[') + std::string(Depth, ']');
+  const std::string Valid = makeServer().dump();
+  for (const char *Value : {"\"10.128.0.9:8080\"", "1783312445813", "\"s1\"",
+                            "\"z\"", "2", "\"ready\"", "4", "\"1500ms\""}) {
+    std::string Bytes = Valid;
+    const std::size_t At = Bytes.find(std::string(":") + Value);
+    ASSERT_NE(At, std::string::npos) << Value;
+    Bytes.replace(At + 1, std::string(Value).size(), Nested);
+    const auto Read = readServer({"i-1", 1, false, Bytes});
+    const auto *Unusable = std::get_if<UnusableRow>(&Read);
+    ASSERT_NE(Unusable, nullptr) << Value;
+    EXPECT_LE(Unusable->Reason.size(), 200U) << Value;
+  }
+  EXPECT_FALSE(isUsable(Nested));
+}
+
+// Guards against entries that name no reachable server but are called.
+TEST(RowCodecTest, readServer_addressOutOfRange_isUnusable) {
+  for (const char *Address :
+       {"10.128.0.9:99999", "10.128.0.9:0", "10.128.0.9:-1", "10.128.0.9",
+        "10.128.0.999:80", "", "host:80"}) {
+    Json Server = makeServer();
+    Server["address"] = Address;
+    EXPECT_FALSE(isUsable(Server.dump())) << Address;
+  }
+}
+
+// Guards against numbers that no type holds.
+TEST(RowCodecTest, readServer_numberTooLarge_isUnusable) {
+  for (const char *Number : {"1e999", "99999999999999999999999", "-1", "1.5"}) {
+    std::string Bytes = makeServer().dump();
+    const std::size_t At = Bytes.find("1783312445813");
+    Bytes.replace(At, 13, Number);
+    EXPECT_FALSE(isUsable(Bytes)) << Number;
+  }
+}
+
 } // namespace
 } // namespace mimosacart
