Bound responses of servers that never end

Here: heads and bodies were bounded. The lines of a chunked body were not: an endless chunk extension or trailer was kept in memory until the call's deadline, at the speed of the link. Bodies were bounded one by one (64 MB), so that a few of them together exceeded the 400 MB of a host. Responses to other requests without end kept the host busy until the deadline, and an informational response (100) was taken for the answer. Class: a bound on each part without one on the whole.

Change: at most 128 kB unparsed, 16 dropped responses a call, 96 MB of bodies being read in all; more than that is a broken call. Informational responses are skipped.

--- a/daemon/direct_host_process.cpp
+++ b/daemon/direct_host_process.cpp
@@ -19,6 +19,9 @@
 
 /// Largest answer read from a backend server or the store.
 constexpr std::size_t MaxAnswerBytes = 64U << 20U;
+/// Answers of backend servers that are read at the same time, in bytes. Leaves
+/// room for the copies made while an answer grows on hosts with 400 MB.
+constexpr std::size_t MaxBufferedAnswerBytes = 96U << 20U;
 /// Longest time of a call to the store, except for waits for changes.
 constexpr Duration StoreTimeout = std::chrono::milliseconds(1500);
 /// Added to the clock, so that an Instant of zero always lies in the past.
@@ -116,7 +119,7 @@
     : Context(IoContext), Settings(std::move(InitialSettings)),
       OnStopped(std::move(StopHandler)), Incarnation(makeIncarnation()),
       Log(Settings.Name.value(), parseLogLevel(Settings.LogLevel)),
-      ServerHttp(IoContext, MaxAnswerBytes),
+      ServerHttp(IoContext, MaxAnswerBytes, MaxBufferedAnswerBytes),
       StoreHttp(IoContext, MaxAnswerBytes),
       Store(StoreHttp, Settings.PlatformAddress, StoreTimeout),
       Peers(IoContext, [this](std::string_view Bytes) { onPeerBytes(Bytes); }),
--- a/net/http_client.cpp
+++ b/net/http_client.cpp
@@ -12,6 +12,12 @@
 constexpr unsigned HttpVersion11 = 11;
 /// Maximum number of idle connections kept per address.
 constexpr std::size_t MaxIdleConnections = 64;
+/// Maximum number of bytes received but not yet parsed. Bounds the lines of a
+/// chunked body, which the parser does not limit.
+constexpr std::size_t MaxUnparsedBytes = 128U << 10U;
+/// Maximum number of responses that a call drops because they belong to others.
+constexpr unsigned MaxDroppedResponses = 16;
+constexpr unsigned FirstFinalStatus = 200;
 
 struct IdleConnection {
   std::unique_ptr<beast::tcp_stream> Stream;
@@ -22,8 +28,10 @@
 
 class HttpClient::Impl {
 public:
-  Impl(asio::io_context &Context, std::size_t MaxBodyBytes)
-      : Context(Context), MaxBodyBytes(MaxBodyBytes) {}
+  Impl(asio::io_context &Context, std::size_t MaxBodyBytes,
+       std::size_t MaxBufferedBytes)
+      : Context(Context), MaxBodyBytes(MaxBodyBytes),
+        MaxBufferedBytes(MaxBufferedBytes) {}
 
   /// Takes the most recently used connection to \p Address that is still open
   /// and was idle for at most \p MaxIdle; null if there is none.
@@ -35,6 +43,9 @@
 
   asio::io_context &Context;
   const std::size_t MaxBodyBytes;
+  const std::size_t MaxBufferedBytes;
+  /// Body bytes of all responses that are being read.
+  std::size_t BufferedBytes = 0;
   std::unordered_map<std::string, std::deque<IdleConnection>> Idle;
 };
 
@@ -91,7 +102,13 @@
   void onWritten(const beast::error_code &Error);
   void read();
   void onHeader(const beast::error_code &Error);
-  void onRead(const beast::error_code &Error);
+  void readBody();
+  void onBodyPart(const beast::error_code &Error);
+  void onRead();
+  /// Adds the body bytes read so far to the client's; returns whether they
+  /// exceed its limit.
+  bool countBytes();
+  void releaseBytes();
   void onResponse(HttpResponse Response, bool KeepAlive);
   bool isTooLong() const;
   void finish(HttpResult Result);
@@ -104,7 +121,10 @@
   std::unique_ptr<beast::tcp_stream> Stream;
   http::request<http::string_body> Outgoing;
   bool RequestWritten = false;
-  beast::flat_buffer Buffer;
+  beast::flat_buffer Buffer{MaxUnparsedBytes};
+  /// Body bytes of the current response that are counted in the client.
+  std::size_t CountedBytes = 0;
+  unsigned DroppedResponses = 0;
   std::optional<http::response_parser<http::string_body>> Parser;
 };
 
@@ -210,19 +230,53 @@
     finish(make_error_code(NetError::Broken));
     return;
   }
-  http::async_read(*Stream, Buffer, *Parser,
-                   [Self = shared_from_this()](beast::error_code Failure,
-                                               std::size_t /*Bytes*/) {
-                     if (Self->Done)
-                       Self->onRead(Failure);
-                   });
+  if (Parser->is_done())
+    onRead();
+  else
+    readBody();
 }
 
-void ClientCall::onRead(const beast::error_code &Error) {
+void ClientCall::readBody() {
+  http::async_read_some(*Stream, Buffer, *Parser,
+                        [Self = shared_from_this()](beast::error_code Error,
+                                                    std::size_t /*Bytes*/) {
+                          if (Self->Done)
+                            Self->onBodyPart(Error);
+                        });
+}
+
+void ClientCall::onBodyPart(const beast::error_code &Error) {
   if (Error) {
     fail(Error, NetError::Broken);
     return;
   }
+  if (countBytes()) {
+    finish(make_error_code(NetError::Broken));
+    return;
+  }
+  if (Parser->is_done())
+    onRead();
+  else
+    readBody();
+}
+
+bool ClientCall::countBytes() {
+  const auto Pool = Client.lock();
+  if (!Pool)
+    return true;
+  const std::size_t Size = Parser->get().body().size();
+  Pool->BufferedBytes += Size - CountedBytes;
+  CountedBytes = Size;
+  return Pool->BufferedBytes > Pool->MaxBufferedBytes;
+}
+
+void ClientCall::releaseBytes() {
+  if (const auto Pool = Client.lock())
+    Pool->BufferedBytes -= CountedBytes;
+  CountedBytes = 0;
+}
+
+void ClientCall::onRead() {
   auto Message = Parser->release();
   // Beast's need_eof() is also true for a response with a length that closes
   // the connection.
@@ -240,8 +294,12 @@
 }
 
 void ClientCall::onResponse(HttpResponse Response, bool KeepAlive) {
-  if (Call.Accept && !Call.Accept(Response)) {
-    if (KeepAlive)
+  // Informational responses precede the answer (RFC 9110, section 15.2).
+  const bool Dropped = Response.Status < FirstFinalStatus ||
+                       (Call.Accept && !Call.Accept(Response));
+  if (Dropped) {
+    releaseBytes();
+    if (KeepAlive && ++DroppedResponses <= MaxDroppedResponses)
       read();
     else
       finish(make_error_code(NetError::Broken));
@@ -272,6 +330,7 @@
     return;
   const HttpClient::DoneHook Hook = std::move(Done);
   Done = nullptr;
+  releaseBytes();
   if (Stream && Result.has_error())
     Stream->close();
   Hook(std::move(Result));
@@ -279,14 +338,16 @@
 
 void ClientCall::cancel() {
   Done = nullptr;
+  releaseBytes();
   if (Stream)
     Stream->close();
 }
 
 } // namespace
 
-HttpClient::HttpClient(asio::io_context &Context, std::size_t MaxBodyBytes)
-    : Shared(std::make_shared<Impl>(Context, MaxBodyBytes)) {}
+HttpClient::HttpClient(asio::io_context &Context, std::size_t MaxBodyBytes,
+                       std::size_t MaxBufferedBytes)
+    : Shared(std::make_shared<Impl>(Context, MaxBodyBytes, MaxBufferedBytes)) {}
 
 HttpClient::~HttpClient() = default;
 
--- a/net/http_client.h
+++ b/net/http_client.h
@@ -8,6 +8,7 @@
 #include <boost/outcome/result.hpp>
 
 #include <functional>
+#include <limits>
 #include <memory>
 #include <string>
 
@@ -57,8 +58,12 @@
 public:
   using DoneHook = std::function<void(HttpResult)>;
 
-  /// \p MaxBodyBytes limits the body of a response.
-  HttpClient(boost::asio::io_context &Context, std::size_t MaxBodyBytes);
+  /// \p MaxBodyBytes limits the body of a response, \p MaxBufferedBytes those
+  /// of all responses that are being read. A call that exceeds either is
+  /// broken.
+  HttpClient(
+      boost::asio::io_context &Context, std::size_t MaxBodyBytes,
+      std::size_t MaxBufferedBytes = std::numeric_limits<std::size_t>::max());
   ~HttpClient();
   HttpClient(const HttpClient &) = delete;
   HttpClient &operator=(const HttpClient &) = delete;
--- a/tests/net/http_client_test.cpp
+++ b/tests/net/http_client_test.cpp
@@ -234,6 +234,147 @@
   EXPECT_EQ(AcceptedCount, 2U);
 }
 
+/// A server that writes \p Head and then \p Unit again and again, until the
+/// client closes the connection.
+class EndlessServer {
+public:
+  EndlessServer(asio::io_context &Context, std::string Head,
+                const std::string &Unit)
+      : Acceptor(Context, {asio::ip::address_v4::loopback(), 0}),
+        Head(std::move(Head)) {
+    while (Block.size() < BlockBytes)
+      Block += Unit;
+    Acceptor.async_accept(
+        [this](boost::system::error_code Error, tcp::socket Accepted) {
+          if (Error)
+            return;
+          Socket.emplace(std::move(Accepted));
+          write(this->Head);
+        });
+  }
+
+  std::string address() const {
+    return "127.0.0.1:" + std::to_string(Acceptor.local_endpoint().port());
+  }
+
+  std::size_t BytesWritten = 0;
+  bool Closed = false;
+
+private:
+  static constexpr std::size_t BlockBytes = 16U << 10U;
+
+  void write(const std::string &Bytes) {
+    asio::async_write(
+        *Socket, asio::buffer(Bytes),
+        [this](boost::system::error_code Error, std::size_t Written) {
+          BytesWritten += Written;
+          Closed = static_cast<bool>(Error);
+          if (!Closed)
+            write(Block);
+        });
+  }
+
+  tcp::acceptor Acceptor;
+  const std::string Head;
+  std::string Block;
+  std::optional<tcp::socket> Socket;
+};
+
+/// Calls of endless servers at the same time, by a client with \p MaxBodyBytes
+/// for one body and for all of them.
+class EndlessResponseTest
+    : public testing::TestWithParam<std::pair<const char *, const char *>> {};
+
+// Guards against memory that grows for as long as a server goes on writing.
+TEST_P(EndlessResponseTest, response_withoutEnd_isBrokenWithinBounds) {
+  constexpr std::size_t MaxBodyBytes = 1U << 20U;
+  // What the sockets of both sides may hold besides.
+  constexpr std::size_t SocketBytes = 16U << 20U;
+  asio::io_context Context;
+  HttpClient Http(Context, MaxBodyBytes);
+  std::vector<std::unique_ptr<EndlessServer>> Servers;
+  std::vector<HttpResult> Results;
+  for (unsigned Count = 0; Count < 4; ++Count) {
+    Servers.push_back(std::make_unique<EndlessServer>(Context, GetParam().first,
+                                                      GetParam().second));
+    HttpCall Call;
+    Call.Address = Servers.back()->address();
+    Call.Request = {"GET", "/", {}, "", ""};
+    Call.Timeout = 20s;
+    Call.MayEndWithConnection = true;
+    Call.Accept = [](const HttpResponse &Response) {
+      return Response.Status != 299;
+    };
+    Http.call(std::move(Call), [&Results](HttpResult Result) {
+      Results.push_back(std::move(Result));
+    });
+  }
+  const auto Deadline = std::chrono::steady_clock::now() + 10s;
+  while (Results.size() < Servers.size() &&
+         std::chrono::steady_clock::now() < Deadline)
+    Context.run_one_for(100ms);
+  ASSERT_EQ(Results.size(), Servers.size());
+  Context.run_for(200ms);
+  for (const HttpResult &Result : Results) {
+    ASSERT_TRUE(Result.has_error());
+    EXPECT_EQ(Result.error(), NetError::Broken);
+  }
+  for (const auto &Server : Servers) {
+    EXPECT_TRUE(Server->Closed);
+    EXPECT_LE(Server->BytesWritten, MaxBodyBytes + SocketBytes);
+  }
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    AllParts, EndlessResponseTest,
+    testing::Values(
+        std::pair{"HTTP/1.1 200 OK\r\nA: ", "x"},
+        std::pair{"HTTP/1.1 200 OK\r\n", "A: b\r\n"},
+        std::pair{"HTTP/1.1 200 OK\r\n\r\n", "x"},
+        std::pair{"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n",
+                  "4\r\nbody\r\n"},
+        std::pair{"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4;",
+                  "x"},
+        std::pair{"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+                  "0\r\n",
+                  "A: b\r\n"},
+        std::pair{"", "HTTP/1.1 100 Continue\r\n\r\n"},
+        std::pair{"", "HTTP/1.1 299 Other\r\nContent-Length: 0\r\n\r\n"},
+        std::pair{"", "x"}));
+
+// Guards against many large responses at once that exhaust the memory together,
+// each within its limit.
+TEST(HttpClientMemoryTest, responses_togetherOverLimit_someAreBroken) {
+  constexpr std::size_t MaxBodyBytes = 1U << 20U;
+  asio::io_context Context;
+  HttpClient Http(Context, MaxBodyBytes, 2 * MaxBodyBytes);
+  const std::string Head =
+      "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(MaxBodyBytes) +
+      "\r\n\r\n";
+  std::vector<std::unique_ptr<EndlessServer>> Servers;
+  unsigned Complete = 0;
+  unsigned Broken = 0;
+  const auto CallAll = [&](unsigned Count) {
+    Complete = Broken = 0;
+    for (unsigned Started = 0; Started < Count; ++Started) {
+      Servers.push_back(std::make_unique<EndlessServer>(Context, Head, "x"));
+      HttpCall Call;
+      Call.Address = Servers.back()->address();
+      Call.Request = {"GET", "/", {}, "", ""};
+      Call.Timeout = 20s;
+      Http.call(std::move(Call), [&](const HttpResult &Result) {
+        ++(Result.has_value() ? Complete : Broken);
+      });
+    }
+    while (Complete + Broken < Count)
+      Context.run_one_for(100ms);
+  };
+  CallAll(8);
+  EXPECT_GE(Broken, 1U);
+  CallAll(1);
+  EXPECT_EQ(Complete, 1U);
+}
+
 /// A call that carries a caller's request with the id \p Id to a server.
 HttpCall makeServerCall(const std::string &Id) {
   CallerRequest Request;
