Heed servers that say they leave or want a pause

The users' new rules: a server says in its answers that it leaves (Server-Leaving) or, in a refusal, for how long it wants nothing of this host (Retry-After with 503).

ServerConstraints holds all reasons why a server must not be sent to beyond what discovery says, with the reason in a line no_server_allowed and a gauge for each. Leaving is final for an incarnation, also if its entry lapses and comes back. A pause covers requests, retries, hedges and probes; hosts return one after another, 40 ms apart in the order of shares. If all servers want a pause, requests are refused at once with the time to its end. Unusable values (empty, negative, a date, above 60 s, given twice) are ignored and counted.

--- a/daemon/direct_metrics.cpp
+++ b/daemon/direct_metrics.cpp
@@ -73,7 +73,10 @@
   Set("invalid_wishes", Counters.InvalidWishes);
   Set("open_requests", Core.openRequests());
   Set("crash_notices", Core.crashNotices());
-  Set("limited_servers", Core.limitedServers());
+  const ServerConstraints &Constraints = Core.constraints();
+  Set("limited_servers", Constraints.limitedServers());
+  Set("leaving_servers", Constraints.leavingServers());
+  Set("quiet_servers", Constraints.quietServers(Core.latestEvent()));
   Set("servers", Core.servers());
   Set("hosts", Core.hosts());
   Set("ready", Core.ready() ? 1 : 0);
--- a/direct/direct_node.h
+++ b/direct/direct_node.h
@@ -123,8 +123,10 @@
   /// Number of reachable entry hosts, including this one.
   std::size_t hosts() const { return Fleet.hosts(); }
   std::size_t openRequests() const { return Flow.openRequests(); }
-  /// Number of servers that name a limit on the requests of all hosts.
-  std::size_t limitedServers() const { return Flow.limitedServers(); }
+  /// What servers ask of this host.
+  const ServerConstraints &constraints() const { return Flow.constraints(); }
+  /// Time of the latest event.
+  Instant latestEvent() const { return Now; }
   /// Number of crashes of servers that this host knows of.
   std::size_t crashNotices() const { return Fleet.crashNotices(); }
   const FlowCounters &counters() const { return Flow.counters(); }
--- a/direct/discovered_server.h
+++ b/direct/discovered_server.h
@@ -53,6 +53,11 @@
   /// Requests a second that the server takes from all hosts together; not set
   /// if it names no limit.
   std::optional<double> RequestsPerSecond;
+  /// The server is shutting down.
+  bool Leaving = false;
+  /// Time for which the server wants no requests of this host; set on refusals
+  /// only.
+  std::optional<Duration> QuietFor;
   /// A value could not be read and is ignored.
   bool Invalid = false;
 
@@ -68,8 +73,6 @@
   bool NotRun = false;
   /// The address belongs to another server now, which did not run it either.
   bool WrongServer = false;
-  /// The server is shutting down and closes its connections.
-  bool Leaving = false;
   /// The answer carries the server's signature.
   bool Signed = false;
 };
--- a/direct/request_flow.cpp
+++ b/direct/request_flow.cpp
@@ -106,6 +106,7 @@
                 Flow.Request.Route.Name,
                 Flow.Request.Fingerprint,
                 Flow.Request.Service.HealthPath,
+                Server.Incarnation,
                 Now,
                 std::nullopt};
   if (Target.HasFreshLoad && Target.IsNominal)
@@ -185,7 +186,7 @@
   if (!Answer.WrongServer) {
     ServerLoads.recordLoad(Now, Call.Server, Answer.Load);
     const bool Proper = isSuccess(Answer.Reply->Status) && Answer.Signed;
-    recordWishes(Now, Call.Server, Answer.Wishes, Proper);
+    recordWishes(Now, Call.Server, Call.Incarnation, Answer.Wishes, Proper);
   }
   if (Answer.WrongServer)
     ServerLoads.recordFailure(Now, Call.Server,
@@ -201,11 +202,19 @@
 /// \p Proper is whether the answer would name the server's limit if there were
 /// one; refusals, errors and answers to probes may lack it.
 void RequestFlow::recordWishes(Instant Now, const ServerName &Server,
+                               std::uint64_t Incarnation,
                                const ServerWishes &Wishes, bool Proper) {
   if (Wishes.Invalid) {
     ++Counters.InvalidWishes;
     Callbacks.Log("server_wish_unusable", {{"server", Server.value()}});
   }
+  if (Wishes.Leaving && Constraints.setLeaving(Server, Incarnation))
+    Callbacks.Log("server_leaving", {{"server", Server.value()}});
+  if (Wishes.QuietFor) {
+    Constraints.setQuiet(Now, Server, *Wishes.QuietFor);
+    Callbacks.Log("server_quiet", {{"server", Server.value()},
+                                   {"for_ms", toMsText(*Wishes.QuietFor)}});
+  }
   if (!Wishes.RequestsPerSecond && (!Proper || Wishes.Invalid))
     return;
   if (!Constraints.setLimit(Now, Server, Wishes.RequestsPerSecond))
@@ -291,6 +300,8 @@
     Crashes.onEnded(Now, Call.Server);
     return;
   }
+  if (Constraints.isQuiet(Now, Call.Server))
+    return;
   // Idle connections may have gone silent by themselves.
   startProbe(Call.HealthPath, *Server, true);
 }
--- a/direct/request_flow.h
+++ b/direct/request_flow.h
@@ -46,8 +46,8 @@
   /// and when the last server refused the request.
   Duration RetryAfterOverload = std::chrono::milliseconds(80);
   Duration RetryAfterServerRefusal = std::chrono::milliseconds(25);
-  /// Longest Retry-After, since servers may drop their limits at any time.
-  Duration MaxRetryAfter = std::chrono::milliseconds(1000);
+  /// Longest Retry-After.
+  Duration MaxRetryAfter = std::chrono::seconds(30);
   /// An idempotent request is hedged this many baseline latencies after its
   /// call started, or earlier if it would miss the objective otherwise.
   double HedgeDelayFactor = 1.7;
@@ -112,8 +112,8 @@
   Instant nextTick() const;
 
   std::size_t openRequests() const { return Flows.size(); }
-  /// Number of servers that name a limit on the requests of all hosts.
-  std::size_t limitedServers() const { return Constraints.limitedServers(); }
+  /// What servers ask of this host.
+  const ServerConstraints &constraints() const { return Constraints; }
   const FlowCounters &counters() const { return Counters; }
 
 private:
@@ -157,6 +157,7 @@
     std::string Route;
     std::uint64_t Fingerprint = 0;
     std::string HealthPath;
+    std::uint64_t Incarnation = 0;
     Instant StartedAt{};
     /// Expected latency as a multiple of the baseline; set if the server's load
     /// was fresh and the server nominal, so that the answer updates the
@@ -165,6 +166,7 @@
   };
   struct OpenProbe {
     ServerName Server;
+    std::uint64_t Incarnation = 0;
     std::vector<RequestId> WaitingRequests;
   };
 
@@ -174,15 +176,18 @@
     std::vector<const DiscoveredServer *> Servers;
     /// If there are none, when the first of the others may be used.
     Instant NextSendableAt = Instant::max();
+    /// Why the first of the others may not be used.
+    SendBlock Block = SendBlock::None;
   };
   Candidates findCandidates(Instant Now, const FlowState &Flow);
-  /// Moves the servers that may be used now from \p Usable to \p Result.
+  /// Adds those of \p Usable that the request may be sent to now.
   void addSendable(Instant Now, const FlowState &Flow,
                    const std::vector<const DiscoveredServer *> &Usable,
                    Candidates &Result);
   /// Called when no server may be used before \p NextSendableAt. Waits for it,
   /// or refuses the request if that is too late.
-  void waitForServer(Instant Now, FlowState &Flow, Instant NextSendableAt);
+  void waitForServer(Instant Now, FlowState &Flow, Instant NextSendableAt,
+                     SendBlock Block);
   static Instant holdUntil(const FlowPolicy &Policy, const FlowState &Flow);
   bool sendProbes(Instant Now, FlowState &Flow,
                   const std::vector<RankedServer> &RankedServers);
@@ -213,7 +218,8 @@
   void recordResult(Instant Now, const OpenCall &Call,
                     const ServerCallResult &Result);
   void recordWishes(Instant Now, const ServerName &Server,
-                    const ServerWishes &Wishes, bool Proper);
+                    std::uint64_t Incarnation, const ServerWishes &Wishes,
+                    bool Proper);
   void recordLatency(Instant Now, const OpenCall &Call,
                      const ServerAnswer &Answer);
   /// Retries on another server if allowed, else finishes the request. Does
--- a/direct/request_flow_choice.cpp
+++ b/direct/request_flow_choice.cpp
@@ -11,9 +11,9 @@
 /// probes. The request is held if no server is expected to meet the objective.
 void RequestFlow::chooseServer(Instant Now, FlowState &Flow) {
   Flow.ChoosingServer = true;
-  const auto [Servers, NextSendableAt] = findCandidates(Now, Flow);
+  const auto [Servers, NextSendableAt, Block] = findCandidates(Now, Flow);
   if (Servers.empty()) {
-    waitForServer(Now, Flow, NextSendableAt);
+    waitForServer(Now, Flow, NextSendableAt, Block);
     return;
   }
   const std::vector<RankedServer> RankedServers =
@@ -85,19 +85,22 @@
   for (const DiscoveredServer *Server : Usable) {
     if (Flow.TriedServers.contains(Server->Id))
       continue;
-    const Instant SendableAt = Constraints.sendableAt(Now, Server->Id);
+    const Instant SendableAt = Constraints.sendableAt(Now, *Server);
     if (SendableAt <= Now) {
       Result.Servers.push_back(Server);
       continue;
     }
     Result.NextSendableAt = std::min(Result.NextSendableAt, SendableAt);
-    if (Constraints.needsRefresh(Now, Server->Id))
+    if (Result.Block == SendBlock::None)
+      Result.Block = Constraints.findBlock(Now, *Server);
+    if (Constraints.needsRefresh(Now, Server->Id) &&
+        !Constraints.isQuiet(Now, Server->Id))
       findOrStartProbe(Flow.Request.Service, *Server);
   }
 }
 
 void RequestFlow::waitForServer(Instant Now, FlowState &Flow,
-                                Instant NextSendableAt) {
+                                Instant NextSendableAt, SendBlock Block) {
   if (!Flow.OpenCalls.empty()) {
     Flow.ChoosingServer = false;
     updateTimer(Flow);
@@ -109,8 +112,12 @@
     return;
   }
   Flow.ChoosingServer = false;
-  if (NextSendableAt != Instant::max())
+  const bool ComesLater = NextSendableAt != Instant::max();
+  if (ComesLater)
     Flow.ServersBusyFor = NextSendableAt - Now;
+  log("no_server_allowed", Flow,
+      {{"why", toString(Block)},
+       {"next_ms", ComesLater ? toMsText(NextSendableAt - Now) : "none"}});
   finishWithFailure(Now, Flow, RefusalReason::NoServer);
 }
 
@@ -168,7 +175,7 @@
                                const DiscoveredServer &Server,
                                bool NewConnection) {
   const CallId Id(++LastCall);
-  Probes[Id] = {Server.Id, {}};
+  Probes[Id] = {Server.Id, Server.Incarnation, {}};
   ++Counters.Probes;
   Callbacks.Probe({Id, Server, HealthPath, Policy.ProbeTimeout, NewConnection});
   return Id;
@@ -258,7 +265,8 @@
     Crashes.onAnswered(Probe.Server);
     ServerLoads.recordLoad(Now, Probe.Server, Result.Load);
     ServerLoads.recordHealth(Probe.Server, Result.Healthy);
-    recordWishes(Now, Probe.Server, Result.Wishes, false);
+    recordWishes(Now, Probe.Server, Probe.Incarnation, Result.Wishes,
+                 Result.Healthy);
   }
   for (const RequestId Waiter : Probe.WaitingRequests) {
     const auto FoundFlow = Flows.find(Waiter);
--- a/direct/server_constraints.cpp
+++ b/direct/server_constraints.cpp
@@ -6,9 +6,6 @@
 
 namespace {
 
-/// Part of a limit that hosts use together; the rest is for hosts that disagree
-/// on the size of the fleet.
-constexpr double UsedShare = 0.9;
 /// Number of hosts that share a limit near zero. One more host shares it for
 /// each request a second.
 constexpr std::size_t MinSharingHosts = 3;
@@ -21,6 +18,12 @@
 constexpr Duration RateLifetime = std::chrono::milliseconds(500);
 /// A limit older than this is asked for again before the server is used.
 constexpr Duration RefreshInterval = std::chrono::seconds(1);
+/// Time between the returns of two hosts to a server that wanted no requests,
+/// and the latest return.
+constexpr Duration ReturnInterval = std::chrono::milliseconds(40);
+constexpr Duration MaxReturnDelay = std::chrono::milliseconds(400);
+/// Leaving servers that are remembered; more than a host meets in a day.
+constexpr std::size_t MaxLeavingServers = 4096;
 
 } // namespace
 
@@ -49,7 +52,7 @@
   const std::size_t Sharing = std::min(
       Position.Hosts, MinSharingHosts + static_cast<std::size_t>(Total));
   const bool HasShare = Position.Rank < Sharing;
-  Limit.Rate = HasShare ? UsedShare * Total / static_cast<double>(Sharing) : 0;
+  Limit.Rate = HasShare ? Total / static_cast<double>(Sharing) : 0;
   Limit.RateAt = Now;
 }
 
@@ -63,7 +66,84 @@
     updateRate(Now, Server, Limit);
 }
 
-Instant ServerConstraints::sendableAt(Instant Now, const ServerName &Server) {
+bool ServerConstraints::setLeaving(const ServerName &Server,
+                                   std::uint64_t Incarnation) {
+  if (LeavingIncarnations.size() >= MaxLeavingServers)
+    LeavingIncarnations.erase(LeavingIncarnations.begin());
+  const auto [Position, Added] =
+      LeavingIncarnations.try_emplace(Server, Incarnation);
+  const bool Changed = Added || Position->second != Incarnation;
+  Position->second = Incarnation;
+  return Changed;
+}
+
+void ServerConstraints::setQuiet(Instant Now, const ServerName &Server,
+                                 Duration Length) {
+  const auto Rank = static_cast<int>(FindPosition(Server).Rank);
+  const Duration Delay = std::min(ReturnInterval * Rank, MaxReturnDelay);
+  Instant &Until = QuietUntil[Server];
+  Until = std::max(Until, Now + Length + Delay);
+}
+
+void ServerConstraints::forget(const ServerName &Server) {
+  Limits.erase(Server);
+  QuietUntil.erase(Server);
+}
+
+bool ServerConstraints::isQuiet(Instant Now, const ServerName &Server) const {
+  const auto Found = QuietUntil.find(Server);
+  return Found != QuietUntil.end() && Found->second > Now;
+}
+
+std::size_t ServerConstraints::quietServers(Instant Now) const {
+  return static_cast<std::size_t>(
+      std::count_if(QuietUntil.begin(), QuietUntil.end(),
+                    [Now](const auto &Entry) { return Entry.second > Now; }));
+}
+
+const char *toString(SendBlock Value) {
+  switch (Value) {
+  case SendBlock::None:
+    return "none";
+  case SendBlock::Leaving:
+    return "leaving";
+  case SendBlock::Quiet:
+    return "quiet";
+  case SendBlock::OverLimit:
+    return "over_limit";
+  }
+  return "none";
+}
+
+SendBlock ServerConstraints::findBlock(Instant Now,
+                                       const DiscoveredServer &Server) {
+  const auto Leaving = LeavingIncarnations.find(Server.Id);
+  if (Leaving != LeavingIncarnations.end() &&
+      Leaving->second == Server.Incarnation)
+    return SendBlock::Leaving;
+  if (isQuiet(Now, Server.Id))
+    return SendBlock::Quiet;
+  return limitAllowsAt(Now, Server.Id) > Now ? SendBlock::OverLimit
+                                             : SendBlock::None;
+}
+
+Instant ServerConstraints::sendableAt(Instant Now,
+                                      const DiscoveredServer &Server) {
+  switch (findBlock(Now, Server)) {
+  case SendBlock::Leaving:
+    return Instant::max();
+  case SendBlock::Quiet:
+    return std::max(QuietUntil.at(Server.Id), limitAllowsAt(Now, Server.Id));
+  case SendBlock::OverLimit:
+    return limitAllowsAt(Now, Server.Id);
+  case SendBlock::None:
+    break;
+  }
+  return Now;
+}
+
+Instant ServerConstraints::limitAllowsAt(Instant Now,
+                                         const ServerName &Server) {
   const auto Found = Limits.find(Server);
   if (Found == Limits.end())
     return Now;
--- a/direct/server_constraints.h
+++ b/direct/server_constraints.h
@@ -4,8 +4,10 @@
 
 #include "core/ids.h"
 #include "core/time.h"
+#include "direct/discovered_server.h"
 
 #include <cstddef>
+#include <cstdint>
 #include <functional>
 #include <map>
 #include <optional>
@@ -22,7 +24,22 @@
   friend bool operator==(const HostPosition &, const HostPosition &) = default;
 };
 
-/// Keeps the limits that servers name for the requests of all hosts together.
+/// Why a server must not be sent a request now.
+enum class SendBlock : std::uint8_t {
+  None,
+  /// The server is shutting down.
+  Leaving,
+  /// The server asked this host not to send for a while.
+  Quiet,
+  /// This host has used its part of the server's limit.
+  OverLimit
+};
+
+/// Returns the name of \p Value in logs.
+const char *toString(SendBlock Value);
+
+/// Keeps what servers ask for in their answers: no more requests at all, none
+/// for a while, or a limit on the requests of all hosts together.
 ///
 /// Hosts keep a limit without messages: each learns it from the server's
 /// answers and takes an equal part. While a limit is low compared with the
@@ -39,18 +56,33 @@
   /// hosts together; nothing if it names none. Returns whether it changed.
   bool setLimit(Instant Now, const ServerName &Server,
                 std::optional<double> RequestsPerSecond);
-  /// Forgets what another incarnation of the server said.
-  void forget(const ServerName &Server) { Limits.erase(Server); }
+  /// Records that this incarnation of the server is shutting down, which is
+  /// final. Returns whether that is news.
+  bool setLeaving(const ServerName &Server, std::uint64_t Incarnation);
+  /// Records that the server wants no requests of this host for \p Length.
+  /// Hosts return one after another.
+  void setQuiet(Instant Now, const ServerName &Server, Duration Length);
+  /// Forgets what another incarnation of the server said, except that it
+  /// leaves: its entry may come back late.
+  void forget(const ServerName &Server);
 
   /// Returns when the next request may be sent to the server: \p Now or earlier
-  /// if at once, Instant::max() if this host has no share of its limit.
-  Instant sendableAt(Instant Now, const ServerName &Server);
+  /// if at once, Instant::max() if never or if this host has no share of its
+  /// limit.
+  Instant sendableAt(Instant Now, const DiscoveredServer &Server);
+  /// Returns why sendableAt() is later than \p Now.
+  SendBlock findBlock(Instant Now, const DiscoveredServer &Server);
   void recordSend(Instant Now, const ServerName &Server);
   /// Whether the server named its limit so long ago that it should be asked
   /// whether it still holds.
   bool needsRefresh(Instant Now, const ServerName &Server) const;
+  bool isQuiet(Instant Now, const ServerName &Server) const;
   /// Number of servers whose limit is known.
   std::size_t limitedServers() const { return Limits.size(); }
+  /// Number of servers that have said that they are leaving.
+  std::size_t leavingServers() const { return LeavingIncarnations.size(); }
+  /// Number of servers that want no requests of this host at \p Now.
+  std::size_t quietServers(Instant Now) const;
 
 private:
   struct NamedLimit {
@@ -64,11 +96,16 @@
     Instant EarnedAt{};
   };
 
+  Instant limitAllowsAt(Instant Now, const ServerName &Server);
   void updateRate(Instant Now, const ServerName &Server, NamedLimit &Limit);
   void earnTokens(Instant Now, const ServerName &Server, NamedLimit &Limit);
 
   const PositionHook FindPosition;
   std::map<ServerName, NamedLimit> Limits;
+  /// End of the time in which a server wants no requests of this host.
+  std::map<ServerName, Instant> QuietUntil;
+  /// Last incarnation of each server that has said that it is leaving.
+  std::map<ServerName, std::uint64_t> LeavingIncarnations;
 };
 
 } // namespace mimosacart
--- a/tests/direct/request_flow_test.cpp
+++ b/tests/direct/request_flow_test.cpp
@@ -509,14 +509,14 @@
   Harness.addServer("a", 50);
   Harness.reportLoad("a");
   Harness.start();
-  Harness.answer("a", 200, true, {Limit, false});
+  Harness.answer("a", 200, true, {Limit, false, {}, false});
   unsigned Calls = 0;
   for (Instant End = Harness.Now + 4s; Harness.Now < End;) {
     Harness.reportLoad("a");
     Harness.start();
     Harness.advance(20ms);
     for (; !Harness.Calls.empty(); ++Calls)
-      Harness.answer("a", 200, true, {Limit, false});
+      Harness.answer("a", 200, true, {Limit, false, {}, false});
   }
   EXPECT_LE(Calls, Allowed);
   EXPECT_GE(Calls, Limit * 4 / 2);
@@ -528,7 +528,7 @@
   Harness.addServer("a", 50);
   Harness.reportLoad("a");
   Harness.start();
-  Harness.answer("a", 200, true, {1.0, false});
+  Harness.answer("a", 200, true, {1.0, false, {}, false});
   const RequestId Id = Harness.start();
   ASSERT_TRUE(Harness.ended(Id));
   EXPECT_EQ(Harness.result(Id).Refused.Outcome, RefusalOutcome::NotRun);
@@ -542,11 +542,60 @@
   Harness.reportLoad("a");
   Harness.start();
   Harness.start();
-  Harness.answer("a", 200, true, {1.0, false});
+  Harness.answer("a", 200, true, {1.0, false, {}, false});
   Harness.answer("a", 200);
   Harness.start();
   EXPECT_EQ(Harness.openCalls().size(), 1U);
 }
 
+/// Servers that say that they leave or want no requests for a while.
+class RequestFlowWishTest : public RequestFlowTest {
+protected:
+  RequestFlowWishTest() {
+    Harness.reportLoad("a");
+    Harness.reportLoad("b", 2);
+    Harness.start();
+  }
+};
+
+// Guards against requests to a server that says that it is leaving while the
+// store is away.
+TEST_F(RequestFlowWishTest, onAnswer_serverIsLeaving_getsNoMore) {
+  Harness.answer("a", 200, true, {{}, true, {}, false});
+  for (unsigned Count = 0; Count < 5; ++Count) {
+    Harness.reportLoad("a");
+    Harness.reportLoad("b");
+    Harness.start();
+  }
+  EXPECT_EQ(Harness.openCalls(), Strings(2, "b"));
+}
+
+// Guards against requests, probes and retries to a server that asked this host
+// for a pause.
+TEST_F(RequestFlowWishTest, onAnswer_serverWantsPause_getsNothingUntilItsEnd) {
+  Harness.answer("a", 503, true, {{}, false, 2s, false});
+  Harness.advance(1900ms);
+  for (const DirectProbe &Probe : Harness.Probes)
+    EXPECT_EQ(Probe.Server.Id.value(), "b");
+  for (const std::string &Server : Harness.openCalls())
+    EXPECT_EQ(Server, "b");
+  Harness.advance(200ms);
+  Harness.start();
+  Harness.answerProbes(IdleLoad);
+  EXPECT_FALSE(Harness.openCalls().empty());
+}
+
+// Guards against holding requests while all servers want a pause, and against a
+// Retry-After that is too short.
+TEST_F(RequestFlowWishTest, start_allServersWantPause_refusesWithItsEnd) {
+  Harness.Registry.remove(Harness.Now, ServerName("b"), false);
+  Harness.answer("a", 503, true, {{}, false, 5s, false});
+  const RequestId Id = Harness.start();
+  ASSERT_TRUE(Harness.ended(Id));
+  EXPECT_EQ(Harness.result(Id).Refused.Outcome, RefusalOutcome::NotRun);
+  EXPECT_GE(Harness.result(Id).Refused.RetryAfter, 5s);
+  EXPECT_EQ(Harness.result(Id).Total, 0s);
+}
+
 } // namespace
 } // namespace mimosacart
--- a/tests/platform/http_codec_test.cpp
+++ b/tests/platform/http_codec_test.cpp
@@ -97,6 +97,38 @@
   EXPECT_TRUE(readServerAnswer(HttpResponse{421, {}, ""}).Answer.WrongServer);
 }
 
+ServerWishes readWishesOf(unsigned Status, std::vector<HeaderField> Headers) {
+  return readServerAnswer(HttpResponse{Status, std::move(Headers), ""})
+      .Answer.Wishes;
+}
+
+TEST(HttpCodecTest, readServerAnswer_wishes_areDecoded) {
+  EXPECT_EQ(readWishesOf(200, {{"Server-Limit", "2.5"}}),
+            (ServerWishes{2.5, false, {}, false}));
+  EXPECT_EQ(readWishesOf(200, {{"server-leaving", "1"}}),
+            (ServerWishes{{}, true, {}, false}));
+  EXPECT_EQ(readWishesOf(503, {{"Retry-After", "1.5"}}),
+            (ServerWishes{{}, false, 1500ms, false}));
+  // Only a refusal asks for a pause.
+  EXPECT_EQ(readWishesOf(200, {{"Retry-After", "1.5"}}), ServerWishes());
+}
+
+// Guards against values that take a server out for ever or end the process.
+TEST(HttpCodecTest, readServerAnswer_unusableWishes_areIgnoredAndMarked) {
+  const ServerWishes Ignored{{}, false, {}, true};
+  for (const char *Value :
+       {"", "-1", "nan", "inf", "1e300", "many", "1,5", "0x10", "2 3",
+        "99999999999999999999", "Wed, 21 Oct 2026 07:28:00 GMT"}) {
+    EXPECT_EQ(readWishesOf(200, {{"Server-Limit", Value}}), Ignored) << Value;
+    EXPECT_EQ(readWishesOf(200, {{"Server-Leaving", Value}}), Ignored) << Value;
+    EXPECT_EQ(readWishesOf(503, {{"Retry-After", Value}}), Ignored) << Value;
+  }
+  EXPECT_EQ(readWishesOf(503, {{"Retry-After", "1"}, {"Retry-After", "1"}}),
+            Ignored);
+  EXPECT_EQ(readWishesOf(200, {{"Server-Limit", "1"}, {"Server-Limit", "9"}}),
+            Ignored);
+}
+
 TEST(HttpCodecTest, readServerAnswer_encodedBody_isNotSigned) {
   const HttpResponse Signed{200, {{"X-Response-Stamp", "s"}}, ""};
   HttpResponse Encoded = Signed;
