soak: let servers name limits, want pauses and leave, and check it

Four wishes a run, drawn by an engine of their own so that the faults of the recorded seeds stay the same: a limit, a pause, leaving (the store still says ready), and a limit that cannot be read. WishChecker reports more requests than a limit allows, more than two in a pause, and any to a server 2 s after it told this host that it leaves, unless that host was disturbed meanwhile.

--- a/soak/main.cpp
+++ b/soak/main.cpp
@@ -35,9 +35,12 @@
     const std::vector<std::string> Violations = Run.run();
     for (const std::string &Violation : Violations)
       fmt::print("broken {}\n", Violation);
-    fmt::print("seed {}: {} requests, {} served, {} promises broken\n", Seed,
-               Run.checker().requestCount(), Run.checker().servedCount(),
-               Violations.size());
+    const PromiseChecker &Checker = Run.checker();
+    fmt::print("seed {}: {} requests, {} served, {} at limited servers, {} "
+               "pauses, {} answers of leaving servers, {} promises broken\n",
+               Seed, Checker.requestCount(), Checker.servedCount(),
+               Checker.wishes().limitedArrivals(), Checker.wishes().pauses(),
+               Checker.wishes().leavingAnswers(), Violations.size());
     AllPromisesKept = AllPromisesKept && Violations.empty();
   }
   return AllPromisesKept ? 0 : 1;
--- a/soak/promises.cpp
+++ b/soak/promises.cpp
@@ -46,9 +46,23 @@
                                      Event.RequestId, Event.Server));
 }
 
-void PromiseChecker::onAnswerSent(const ServerEvent &Event) {
+void PromiseChecker::onArrived(const ServerEvent &Event) {
   const auto Request = Requests.find(Event.RequestId);
   if (Request != Requests.end())
+    Wishes.onArrival(Request->second.Host, Event.Server,
+                     Request->second.SentAt);
+}
+
+void PromiseChecker::onAnswerSent(const ServerEvent &Event) {
+  const auto Request = Requests.find(Event.RequestId);
+  if (Request == Requests.end())
+    return;
+  const std::size_t Host = Request->second.Host;
+  if (Event.Leaving)
+    Wishes.onLeavingAnswer(Host, Event.Server);
+  if (Event.Pause.count() > 0)
+    Wishes.onPauseAnswer(Host, Event.Server, Event.Pause);
+  else
     Request->second.AnsweredBy.insert(Event.Server);
 }
 
@@ -162,6 +176,8 @@
 PromiseChecker::findViolations(SoakTime RecoveredAt, std::size_t HostCount,
                                const std::string &OnceService) const {
   std::vector<std::string> Result = Violations;
+  Result.insert(Result.end(), Wishes.violations().begin(),
+                Wishes.violations().end());
   for (const auto &[Id, Request] : Requests)
     if (const std::string Violation = checkRequest(Request); !Violation.empty())
       Result.push_back(Violation);
--- a/soak/promises.h
+++ b/soak/promises.h
@@ -4,6 +4,7 @@
 #pragma once
 
 #include "soak/soak_server.h"
+#include "soak/wish_checker.h"
 
 #include <chrono>
 #include <map>
@@ -61,6 +62,8 @@
   ObservedRequest &addRequest(ObservedRequest Request);
   /// Records that a backend server started to execute a request.
   void onExecutionStarted(const ServerEvent &Event);
+  /// Records that a request reached a backend server.
+  void onArrived(const ServerEvent &Event);
   /// Records that a backend server sends its answer.
   void onAnswerSent(const ServerEvent &Event);
   /// Records the answer that the caller got, or status 0 if it got none.
@@ -82,6 +85,9 @@
   std::vector<std::string> findViolations(SoakTime RecoveredAt,
                                           std::size_t HostCount,
                                           const std::string &OnceService) const;
+  /// What servers asked for and which requests reached them.
+  WishChecker &wishes() { return Wishes; }
+  const WishChecker &wishes() const { return Wishes; }
   std::size_t requestCount() const { return Requests.size(); }
   /// Number of requests that got a 2xx status.
   std::size_t servedCount() const;
@@ -104,6 +110,9 @@
   /// When each drained server, by its id, must receive no more requests.
   std::map<std::string, SoakTime> ForbiddenServers;
   std::vector<Disturbance> Disturbances;
+  WishChecker Wishes{[this](std::size_t Host, SoakTime From, SoakTime To) {
+    return wasDisturbed(Host, From, To, true);
+  }};
   /// Violations detected while the run was in progress.
   std::vector<std::string> Violations;
 };
--- a/soak/soak.cpp
+++ b/soak/soak.cpp
@@ -114,7 +114,9 @@
           [this](const ServerEvent &Event) {
             Checker.onExecutionStarted(Event);
           },
+          [this](const ServerEvent &Event) { Checker.onArrived(Event); },
           [this](const ServerEvent &Event) { Checker.onAnswerSent(Event); }});
+  Checker.wishes().onRestart(Server.Id);
   if (!Server.RunningServer->listen(Server.OwnAddress))
     throw std::runtime_error("cannot listen on server address " +
                              Server.OwnAddress);
@@ -200,6 +202,7 @@
   runAfter(1000ms, [this] { sendRequests(); });
   watchProcesses();
   scheduleFaults();
+  scheduleWishes();
   // The last change of the configuration. Every host must apply it when
   // RecoveredBeforeEnd is left of the run.
   runAfter(std::chrono::duration_cast<std::chrono::milliseconds>(
@@ -282,6 +285,60 @@
         [this] { injectFault(); });
 }
 
+/// Drawn by an engine of their own, so that the faults of a seed stay the same.
+void Soak::scheduleWishes() {
+  std::mt19937_64 WishRandom(~Options.Seed);
+  const auto Draw = [&WishRandom](long Min, long Max) {
+    return std::uniform_int_distribution<long>(Min, Max)(WishRandom);
+  };
+  const auto Period = std::chrono::duration_cast<std::chrono::milliseconds>(
+                          Options.Length - FaultFreeStart - FaultFreeEnd)
+                          .count();
+  if (Period <= 0)
+    return;
+  for (unsigned Count = 0; Count < 4; ++Count) {
+    const auto Start = std::chrono::milliseconds(2000 + Draw(0, Period));
+    const auto Length = std::chrono::milliseconds(Draw(1000, 8000));
+    // The servers for reads come first; one of them is never asked, so that
+    // requests can be served.
+    const auto Index = static_cast<std::size_t>(Draw(0, 2));
+    const long Kind = Draw(0, 3);
+    const double Limit = static_cast<double>(Draw(5, 40)) / 10;
+    runAfter(Start, [this, Index, Kind, Limit, Length] {
+      announceWish(*Servers[Index], Kind, Limit, Length);
+    });
+  }
+}
+
+void Soak::announceWish(ServerInstance &Server, long Kind, double Limit,
+                        std::chrono::milliseconds Length) {
+  if (!Server.RunningServer)
+    return;
+  AnnouncedWishes Wishes;
+  if (Kind == 0)
+    Wishes.Leaving = true;
+  else if (Kind == 1)
+    Wishes.Pause = Length;
+  else if (Kind == 2)
+    Wishes.Limit = fmt::format("{}", Limit);
+  else
+    Wishes.Limit = "-1e999,many";
+  printEvent(fmt::format("{} announces: leaving {}, pause {} ms, limit \"{}\"",
+                         Server.Id, Wishes.Leaving, Wishes.Pause.count(),
+                         Wishes.Limit));
+  Server.RunningServer->announce(Wishes);
+  Checker.wishes().setLimit(Server.Id, Kind == 2 ? Limit : 0);
+  // A server that leaves does not change its mind.
+  if (Kind == 0)
+    return;
+  runAfter(Length, [this, &Server] {
+    if (!Server.RunningServer)
+      return;
+    Server.RunningServer->announce({});
+    Checker.wishes().setLimit(Server.Id, 0);
+  });
+}
+
 void Soak::injectFault() {
   // Faults listed twice are drawn twice as often.
   static const std::vector<void (Soak::*)()> Faults = {
--- a/soak/soak.h
+++ b/soak/soak.h
@@ -80,6 +80,10 @@
   void watchProcesses();
   void scheduleFaults();
   void injectFault();
+  /// Schedules servers that name a limit, want a pause or leave.
+  void scheduleWishes();
+  void announceWish(ServerInstance &Server, long Kind, double Limit,
+                    std::chrono::milliseconds Length);
 
   void killHost();
   void pauseHost();
--- a/soak/soak_server.cpp
+++ b/soak/soak_server.cpp
@@ -4,6 +4,8 @@
 
 namespace mimosacart {
 
+using namespace std::chrono_literals;
+
 namespace {
 
 /// Concurrency limit of a server, in requests.
@@ -38,11 +40,21 @@
                      SlownessFactor * NominalSlownessPercent);
 }
 
+std::vector<HeaderField> SoakServer::makeHeaders() const {
+  std::vector<HeaderField> Headers = {{"X-Server-Load", formatLoad()}};
+  if (!Wishes.Limit.empty())
+    Headers.push_back({"Server-Limit", Wishes.Limit});
+  if (Wishes.Leaving)
+    Headers.push_back({"Server-Leaving", "1"});
+  return Headers;
+}
+
 void SoakServer::onRequest(const HttpRequest &Request,
                            const std::shared_ptr<HttpExchange> &Exchange) {
   if (Request.Target == "/health") {
-    Exchange->respond(
-        {200, {{"X-Instance-Id", Id}, {"X-Server-Load", formatLoad()}}, ""});
+    std::vector<HeaderField> Headers = makeHeaders();
+    Headers.push_back({"X-Instance-Id", Id});
+    Exchange->respond({200, std::move(Headers), ""});
     return;
   }
   const std::string RequestId = findFieldOrEmpty(Request, "X-Request-Id");
@@ -50,13 +62,21 @@
     Exchange->respond({421, {{"X-Instance-Id", Id}}, ""});
     return;
   }
-  if (ExecutingCount >= ConcurrencyLimit) {
-    Exchange->respond(
-        {503, {{"X-Not-Executed", "1"}, {"X-Server-Load", formatLoad()}}, ""});
+  ServerEvent Event{RequestId, Service, Id, Wishes.Leaving, Wishes.Pause};
+  Callbacks.Arrived(Event);
+  if (ExecutingCount >= ConcurrencyLimit || Wishes.Pause > 0ms) {
+    std::vector<HeaderField> Headers = makeHeaders();
+    Headers.push_back({"X-Not-Executed", "1"});
+    if (Wishes.Pause > 0ms)
+      Headers.push_back(
+          {"Retry-After",
+           fmt::format("{:.3f}",
+                       std::chrono::duration<double>(Wishes.Pause).count())});
+    Callbacks.AnswerSent(Event);
+    Exchange->respond({503, std::move(Headers), ""});
     return;
   }
   ++ExecutingCount;
-  const ServerEvent Event{RequestId, Service, Id};
   Callbacks.ExecutionStarted(Event);
   const auto Timer = std::make_shared<asio::steady_timer>(
       Context, ExecutionTime * SlownessFactor);
@@ -66,12 +86,14 @@
     if (WeakLifetime.expired())
       return;
     --ExecutingCount;
-    Callbacks.AnswerSent(Event);
-    Exchange->respond({200,
-                       {{"X-Request-Id", Event.RequestId},
-                        {"X-Response-Stamp", "stamp-" + Event.RequestId},
-                        {"X-Server-Load", formatLoad()}},
-                       Event.RequestId + " by " + Id});
+    ServerEvent Answered = Event;
+    Answered.Leaving = Wishes.Leaving;
+    Answered.Pause = 0ms;
+    Callbacks.AnswerSent(Answered);
+    std::vector<HeaderField> Headers = makeHeaders();
+    Headers.push_back({"X-Request-Id", Event.RequestId});
+    Headers.push_back({"X-Response-Stamp", "stamp-" + Event.RequestId});
+    Exchange->respond({200, std::move(Headers), Event.RequestId + " by " + Id});
   });
 }
 
--- a/soak/soak_server.h
+++ b/soak/soak_server.h
@@ -18,6 +18,19 @@
   std::string Service;
   /// Id of the server.
   std::string Server;
+  /// The answer says that the server is leaving.
+  bool Leaving = false;
+  /// Pause that the refusal asks for; zero if it asks for none.
+  std::chrono::milliseconds Pause{};
+};
+
+/// What a server says about the requests that it takes.
+struct AnnouncedWishes {
+  /// Value of the Server-Limit header; may be invalid. Empty if not sent.
+  std::string Limit;
+  bool Leaving = false;
+  /// All requests are refused, with a Retry-After of this length, if not zero.
+  std::chrono::milliseconds Pause{};
 };
 
 /// Listens on one address until it is destroyed.
@@ -26,6 +39,8 @@
   struct Hooks {
     /// Called when the execution of a request starts.
     std::function<void(const ServerEvent &)> ExecutionStarted;
+    /// Called when a request has reached the server that it names.
+    std::function<void(const ServerEvent &)> Arrived;
     /// Called just before the server sends its answer.
     std::function<void(const ServerEvent &)> AnswerSent;
   };
@@ -40,6 +55,7 @@
   /// Multiplies the execution time of later requests and the reported slowness
   /// by \p Factor.
   void setSlowness(unsigned Factor) { SlownessFactor = Factor; }
+  void announce(AnnouncedWishes NewWishes) { Wishes = std::move(NewWishes); }
   const std::string &id() const { return Id; }
   const std::string &service() const { return Service; }
 
@@ -49,6 +65,8 @@
   /// Value of the X-Server-Load header: requests in execution, 0, concurrency
   /// limit and slowness in percent.
   std::string formatLoad() const;
+  /// Headers of every answer: the load and what the server asks for.
+  std::vector<HeaderField> makeHeaders() const;
 
   asio::io_context &Context;
   const std::string Id;
@@ -57,6 +75,7 @@
   /// Number of requests in execution.
   unsigned ExecutingCount = 0;
   unsigned SlownessFactor = 1;
+  AnnouncedWishes Wishes;
   /// Expires with the server, so that pending timers do not access it.
   std::shared_ptr<int> LifetimeToken = std::make_shared<int>(0);
   std::unique_ptr<HttpServer> Http;
