Keep a request quarantined while copies of it keep coming

Callers saw: a request that crashes servers was sent to three more every 60 s, since notices of crashes expire after that.

Change: a quarantined request that comes again renews its notices; hosts whose own have expired get them back by the exchange of digests.

Failed before: FleetGossipCrashTest.renewCrashes_copiesKeepComing_noHostForgets (without the renewal every host forgets after 60 s). Restarts in turn keep the count, also before.

--- a/core/expiring_notices.cpp
+++ b/core/expiring_notices.cpp
@@ -81,6 +81,16 @@
   return Count;
 }
 
+void ExpiringNotices::renewCrashes(Instant Now, std::uint64_t Fingerprint) {
+  auto Next = CrashExpiry.lower_bound({Fingerprint, ServerName(), 0});
+  for (; Next != CrashExpiry.end(); ++Next) {
+    if (Next->first.Fingerprint != Fingerprint)
+      break;
+    if (Next->second > Now)
+      Next->second = Now + Lifetimes.CrashLifetime;
+  }
+}
+
 std::vector<ServerName> ExpiringNotices::expire(Instant Now) {
   std::vector<ServerName> UndrainedServers;
   for (const auto &[Server, State] : Drains)
--- a/core/expiring_notices.h
+++ b/core/expiring_notices.h
@@ -54,6 +54,10 @@
   /// suspected of.
   std::size_t crashCount(Instant Now, std::uint64_t Fingerprint) const;
 
+  /// Extends the lifetime of the crashes known for \p Fingerprint to its full
+  /// length, because requests with it keep coming.
+  void renewCrashes(Instant Now, std::uint64_t Fingerprint);
+
   /// Drops expired notices and returns the servers whose drain has expired.
   std::vector<ServerName> expire(Instant Now);
 
--- a/direct/direct_node.cpp
+++ b/direct/direct_node.cpp
@@ -53,6 +53,9 @@
   Result.CrashCount = [this](std::uint64_t Fingerprint) {
     return Fleet.crashes(Fingerprint);
   };
+  Result.QuarantinedAgain = [this](Instant At, std::uint64_t Fingerprint) {
+    Fleet.renewCrashes(At, Fingerprint);
+  };
   Result.Position = [this](const ServerName &Server) {
     return Fleet.position(Server.value());
   };
--- a/direct/fleet_gossip.h
+++ b/direct/fleet_gossip.h
@@ -72,6 +72,11 @@
   /// Number of unexpired crashes that requests with \p Fingerprint are
   /// suspected of.
   std::size_t crashes(std::uint64_t Fingerprint) const;
+  /// See ExpiringNotices::renewCrashes(). The other hosts get the notices again
+  /// when theirs have expired.
+  void renewCrashes(Instant Now, std::uint64_t Fingerprint) {
+    Notices.renewCrashes(Now, Fingerprint);
+  }
   /// Number of unexpired crash notices that this host holds.
   std::size_t crashNotices() const { return Notices.crashes(Now).size(); }
 
--- a/direct/request_flow.cpp
+++ b/direct/request_flow.cpp
@@ -44,6 +44,7 @@
   FlowState &Flow = Flows[Id];
   Flow.Request = std::move(Request);
   if (isQuarantined(Flow)) {
+    Callbacks.QuarantinedAgain(Now, Flow.Request.Fingerprint);
     finishWithFailure(Now, Flow, RefusalReason::Quarantined);
     return;
   }
--- a/tests/direct/fleet_gossip_test.cpp
+++ b/tests/direct/fleet_gossip_test.cpp
@@ -180,5 +180,61 @@
   EXPECT_EQ(countHostsWithFullView(), 24U);
 }
 
+/// A fleet in which a request has crashed three servers.
+class FleetGossipCrashTest : public FleetGossipTest {
+protected:
+  static constexpr std::uint64_t Fingerprint = 7;
+
+  FleetGossipCrashTest() {
+    startFleet(6);
+    advanceTime(3s);
+    for (const char *Server : {"a", "b", "c"})
+      gossip(0).addCrash(Now, Fingerprint, ServerName(Server));
+    advanceTime(100ms);
+  }
+
+  FleetGossip &gossip(unsigned Number) {
+    return *Hosts.at(addressOf(Number)).Gossip;
+  }
+  std::size_t fewestKnown() {
+    std::size_t Result = 3;
+    for (unsigned Number = 0; Number < 6; ++Number)
+      Result = std::min(Result, gossip(Number).crashes(Fingerprint));
+    return Result;
+  }
+};
+
+TEST_F(FleetGossipCrashTest, addCrash_threeCrashes_areKnownToAllHostsAtOnce) {
+  EXPECT_EQ(fewestKnown(), 3U);
+}
+
+// Guards against sending a request again that comes for longer than notices
+// live, at whichever host.
+TEST_F(FleetGossipCrashTest, renewCrashes_copiesKeepComing_noHostForgets) {
+  for (unsigned Step = 0; Step < 12; ++Step) {
+    advanceTime(10s);
+    gossip(3).renewCrashes(Now, Fingerprint);
+  }
+  advanceTime(3s);
+  EXPECT_EQ(fewestKnown(), 3U);
+}
+
+TEST_F(FleetGossipCrashTest, tick_hostsRestartInTurn_noHostForgets) {
+  for (unsigned Number = 0; Number < 6; ++Number) {
+    startHost(Number, "~2");
+    advanceTime(3s);
+  }
+  EXPECT_EQ(fewestKnown(), 3U);
+}
+
+// Guards against sending a request to servers again because all hosts that knew
+// of its crashes were killed at once.
+TEST_F(FleetGossipCrashTest, tick_allHostsRestartAtOnce_noHostForgets) {
+  for (unsigned Number = 0; Number < 6; ++Number)
+    startHost(Number, "~2");
+  advanceTime(3s);
+  EXPECT_EQ(fewestKnown(), 3U);
+}
+
 } // namespace
 } // namespace mimosacart
--- a/tests/direct/flow_harness.cpp
+++ b/tests/direct/flow_harness.cpp
@@ -44,6 +44,7 @@
       throw std::logic_error("request finished twice");
   };
   Result.HostCount = [] { return std::size_t{1}; };
+  Result.QuarantinedAgain = [](Instant, std::uint64_t) {};
   Result.Position = [](const ServerName &) { return HostPosition{}; };
   Result.CrashCount = [this](std::uint64_t Fingerprint) {
     return CrashCounts[Fingerprint];
