--- a/bench/decision_bench.cpp
+++ b/bench/decision_bench.cpp
@@ -3,6 +3,7 @@
 /// fleet.
 #include "core/node.h"
 #include "core/ownership.h"
+#include "direct/server_constraints.h"
 #include "settings/configuration_file.h"
 
 #include <benchmark/benchmark.h>
@@ -152,6 +153,29 @@
 }
 BENCHMARK(idleTick)->Args({4, 40})->Args({570, 2900});
 
+/// The check of one request which of a service's servers may be sent to. The
+/// second argument is whether all of them name limits.
+void checkServerConstraints(benchmark::State &State) {
+  std::vector<DiscoveredServer> Servers(
+      static_cast<std::size_t>(State.range(0)));
+  ServerConstraints Constraints(
+      [](const ServerName &) { return HostPosition{}; });
+  Instant Now(1h);
+  for (std::size_t Index = 0; Index < Servers.size(); ++Index) {
+    Servers[Index].Id = ServerName("server-" + std::to_string(Index));
+    if (State.range(1) != 0)
+      Constraints.setLimit(Now, Servers[Index].Id, 2.5);
+  }
+  for (auto _ : State) {
+    Now += 1ms;
+    std::size_t Sendable = 0;
+    for (const DiscoveredServer &Server : Servers)
+      Sendable += Constraints.sendableAt(Now, Server) <= Now ? 1 : 0;
+    benchmark::DoNotOptimize(Sendable);
+  }
+}
+BENCHMARK(checkServerConstraints)->ArgsProduct({{30, 3000}, {0, 1}});
+
 } // namespace
 } // namespace mimosacart
 
