Bound the lines of chunked bodies that callers send

At most a header and 128 kB are kept unparsed now.

Failed before: HttpServerTest.request_endlessChunkExtension_connectionIsClosed (32 MB were taken).

--- a/net/http_server.cpp
+++ b/net/http_server.cpp
@@ -11,6 +11,9 @@
 namespace {
 
 constexpr unsigned HttpVersion11 = 11;
+/// Maximum number of body bytes received but not yet parsed. Bounds the lines
+/// of a chunked body, which the parser does not limit.
+constexpr std::size_t MaxUnparsedBodyBytes = 128U << 10U;
 
 NetError toNetError(const beast::error_code &Error) {
   if (Error == http::error::header_limit)
@@ -149,6 +152,7 @@
   Parser.emplace();
   Parser->header_limit(static_cast<std::uint32_t>(Server->Limits.HeaderBytes));
   Parser->body_limit(Server->Limits.BodyBytes);
+  Buffer.max_size(Server->Limits.HeaderBytes + MaxUnparsedBodyBytes);
   // A timer is used because the stream's own timeout would close the stream
   // before the refusal is sent.
   Stream.expires_never();
--- a/tests/net/http_server_test.cpp
+++ b/tests/net/http_server_test.cpp
@@ -208,5 +208,22 @@
                413);
 }
 
+// Guards against memory that grows for as long as a caller writes a line of a
+// chunked body.
+TEST_F(HttpServerTest, request_endlessChunkExtension_connectionIsClosed) {
+  constexpr std::size_t MaxBytes = 32U << 20U;
+  tcp::socket Socket = connect();
+  boost::system::error_code Error;
+  asio::write(Socket,
+              asio::buffer(std::string("POST /x HTTP/1.1\r\nHost: h\r\n"
+                                       "Transfer-Encoding: chunked\r\n\r\n4;")),
+              Error);
+  const std::string Block(64U << 10U, 'x');
+  std::size_t Written = 0;
+  while (!Error && Written < MaxBytes)
+    Written += asio::write(Socket, asio::buffer(Block), Error);
+  EXPECT_LT(Written, MaxBytes);
+}
+
 } // namespace
 } // namespace mimosacart
