Ignore pauses and limits that an earlier incarnation of a server asked for

An answer of the old incarnation that came after the new one had registered paused the new one, for up to 60 s. Leaving was already kept by incarnation. Failed before: RequestFlowWishTest.onAnswer_serverRestartedSince_isNotPaused. The log line server_limit loses its field from, which told probes from answers while the cause was looked for.

--- a/direct/request_flow.cpp
+++ b/direct/request_flow.cpp
@@ -201,7 +201,7 @@
 }
 
 /// \p Proper is whether the answer would name the server's limit if there were
-/// one; refusals, errors and answers to probes may lack it.
+/// one; refusals and errors may lack it.
 void RequestFlow::recordWishes(Instant Now, const ServerName &Server,
                                std::uint64_t Incarnation,
                                const ServerWishes &Wishes, bool Proper) {
@@ -211,6 +211,10 @@
   }
   if (Wishes.Leaving && Constraints.setLeaving(Server, Incarnation))
     Callbacks.Log("server_leaving", {{"server", Server.value()}});
+  // An answer of an earlier incarnation says nothing else about this one.
+  const DiscoveredServer *Known = Registry.find(Server);
+  if (Known == nullptr || Known->Incarnation != Incarnation)
+    return;
   if (Wishes.QuietFor) {
     Constraints.setQuiet(Now, Server, *Wishes.QuietFor);
     Callbacks.Log("server_quiet", {{"server", Server.value()},
@@ -222,7 +226,6 @@
     return;
   Callbacks.Log("server_limit",
                 {{"server", Server.value()},
-                 {"from", Proper ? "answer" : "probe_or_error"},
                  {"per_second", Wishes.RequestsPerSecond
                                     ? std::to_string(*Wishes.RequestsPerSecond)
                                     : "none"}});
--- a/tests/direct/request_flow_test.cpp
+++ b/tests/direct/request_flow_test.cpp
@@ -585,6 +585,15 @@
   EXPECT_FALSE(Harness.openCalls().empty());
 }
 
+// Guards against a pause that an earlier incarnation asked for.
+TEST_F(RequestFlowWishTest, onAnswer_serverRestartedSince_isNotPaused) {
+  DiscoveredServer Restarted = *Harness.Registry.find(ServerName("a"));
+  Restarted.Incarnation = 2;
+  Harness.Registry.update(Harness.Now, Restarted);
+  Harness.answer("a", 503, true, {{}, false, 5s, false});
+  EXPECT_EQ(Harness.Flow.constraints().quietServers(Harness.Now), 0U);
+}
+
 // Guards against holding requests while all servers want a pause, and against a
 // Retry-After that is too short.
 TEST_F(RequestFlowWishTest, start_allServersWantPause_refusesWithItsEnd) {
