Count a follower's calls as they are sent in its test

The test counted calls at the store while the last one could still be on its way, and failed once beside load. A new test stops the follower at exactly that moment: the store had counted fewer calls than were sent, which is what the old check met; no call follows. The old check stays, after the last call has arrived, and the follower's own count is checked as well.

--- a/tests/daemon/table_follower_test.cpp
+++ b/tests/daemon/table_follower_test.cpp
@@ -146,11 +146,28 @@
   Follower->setReadMode(ReadMode::Active);
   run(100ms);
   Follower->setReadMode(ReadMode::None);
-  const std::size_t CallsBefore = Store.calls();
+  // Counted as they are sent: the last one may not have reached the store yet.
+  const std::size_t CallsBefore = Follower->calls();
   run(2500ms);
+  EXPECT_EQ(Follower->calls(), CallsBefore);
   EXPECT_EQ(Store.calls(), CallsBefore);
 }
 
+// The call that is on its way to the store when reading ends is the last one.
+TEST_F(TableFollowerTest, setReadMode_noneWhileCallIsOnItsWay_sendsNoMore) {
+  Follower->start();
+  Follower->setReadMode(ReadMode::Active);
+  constexpr std::size_t FirstLongPoll = 2;
+  Context.restart();
+  while (Follower->calls() < FirstLongPoll)
+    Context.run_one_for(1s);
+  ASSERT_LT(Store.calls(), FirstLongPoll);
+  Follower->setReadMode(ReadMode::None);
+  run(2500ms);
+  EXPECT_EQ(Follower->calls(), FirstLongPoll);
+  EXPECT_EQ(Store.calls(), FirstLongPoll);
+}
+
 TEST_F(TableFollowerTest, setReadMode_noneAfterFirstAnswer_callsOnce) {
   Follower->start();
   run(100ms);
