Excuse a request of crashes once a server has run it to its end

Cause: what is counted is that servers ended under a request, not that the request ends servers. One that does never succeeds, so a success is proof of the opposite. Change: a success excuses the known crashes at that host; the notices stay, so that peers do not bring them back.

Failed before: RequestFlowCrashTest.onAnswer_copyWasServed_crashesAreExcused.

--- a/core/expiring_notices.cpp
+++ b/core/expiring_notices.cpp
@@ -60,7 +60,7 @@
   if (Remaining <= Duration::zero())
     return false;
   const CrashKey Key{Received.Fingerprint, Received.Server, Received.EventId};
-  return CrashExpiry.emplace(Key, Now + Remaining).second;
+  return Crashes.emplace(Key, Crash{Now + Remaining}).second;
 }
 
 bool ExpiringNotices::isDraining(Instant Now, const ServerName &Server) const {
@@ -71,23 +71,32 @@
 
 std::size_t ExpiringNotices::crashCount(Instant Now,
                                         std::uint64_t Fingerprint) const {
-  auto Next = CrashExpiry.lower_bound({Fingerprint, ServerName(), 0});
+  auto Next = Crashes.lower_bound({Fingerprint, ServerName(), 0});
   std::size_t Count = 0;
-  for (; Next != CrashExpiry.end(); ++Next) {
+  for (; Next != Crashes.end(); ++Next) {
     if (Next->first.Fingerprint != Fingerprint)
       break;
-    Count += Next->second > Now ? 1 : 0;
+    Count += Next->second.ExpiresAt > Now && !Next->second.Excused ? 1 : 0;
   }
   return Count;
 }
 
+void ExpiringNotices::excuseCrashes(std::uint64_t Fingerprint) {
+  auto Next = Crashes.lower_bound({Fingerprint, ServerName(), 0});
+  for (; Next != Crashes.end(); ++Next) {
+    if (Next->first.Fingerprint != Fingerprint)
+      break;
+    Next->second.Excused = true;
+  }
+}
+
 void ExpiringNotices::renewCrashes(Instant Now, std::uint64_t Fingerprint) {
-  auto Next = CrashExpiry.lower_bound({Fingerprint, ServerName(), 0});
-  for (; Next != CrashExpiry.end(); ++Next) {
+  auto Next = Crashes.lower_bound({Fingerprint, ServerName(), 0});
+  for (; Next != Crashes.end(); ++Next) {
     if (Next->first.Fingerprint != Fingerprint)
       break;
-    if (Next->second > Now)
-      Next->second = Now + Lifetimes.CrashLifetime;
+    if (Next->second.ExpiresAt > Now)
+      Next->second.ExpiresAt = Now + Lifetimes.CrashLifetime;
   }
 }
 
@@ -99,8 +108,9 @@
   std::erase_if(Drains, [Now](const auto &Entry) {
     return Entry.second.ExpiresAt <= Now;
   });
-  std::erase_if(CrashExpiry,
-                [Now](const auto &Entry) { return Entry.second <= Now; });
+  std::erase_if(Crashes, [Now](const auto &Entry) {
+    return Entry.second.ExpiresAt <= Now;
+  });
   return UndrainedServers;
 }
 
@@ -114,9 +124,9 @@
 
 std::vector<CrashNotice> ExpiringNotices::crashes(Instant Now) const {
   std::vector<CrashNotice> Result;
-  for (const auto &[Key, ExpiresAt] : CrashExpiry)
+  for (const auto &[Key, State] : Crashes)
     Result.push_back(
-        {Key.Fingerprint, Key.Server, Key.EventId, ExpiresAt - Now});
+        {Key.Fingerprint, Key.Server, Key.EventId, State.ExpiresAt - Now});
   return Result;
 }
 
@@ -125,7 +135,7 @@
   for (const auto &[Server, State] : Drains)
     Result += stableHash(Server.value(),
                          State.Version * 2 + (State.Draining ? 1 : 0));
-  for (const auto &[Key, ExpiresAt] : CrashExpiry)
+  for (const auto &[Key, State] : Crashes)
     Result += stableHash(Key.Server.value(), Key.Fingerprint + Key.EventId);
   return Result;
 }
--- a/core/expiring_notices.h
+++ b/core/expiring_notices.h
@@ -54,6 +54,10 @@
   /// suspected of.
   std::size_t crashCount(Instant Now, std::uint64_t Fingerprint) const;
 
+  /// Stops counting the crashes known for \p Fingerprint, because a server has
+  /// run such a request to its end. They are kept, so that peers do not send
+  /// them again.
+  void excuseCrashes(std::uint64_t Fingerprint);
   /// Extends the lifetime of the crashes known for \p Fingerprint to its full
   /// length, because requests with it keep coming.
   void renewCrashes(Instant Now, std::uint64_t Fingerprint);
@@ -83,7 +87,13 @@
 
   const NoticeLifetimes Lifetimes;
   std::map<ServerName, Drain> Drains;
-  std::map<CrashKey, Instant> CrashExpiry;
+  struct Crash {
+    Instant ExpiresAt{};
+    /// Whether the request is no longer suspected of it.
+    bool Excused = false;
+  };
+
+  std::map<CrashKey, Crash> Crashes;
 };
 
 } // namespace mimosacart
--- a/direct/direct_node.cpp
+++ b/direct/direct_node.cpp
@@ -53,6 +53,11 @@
   Result.CrashCount = [this](std::uint64_t Fingerprint) {
     return Fleet.crashes(Fingerprint);
   };
+  Result.CrashesExcused = [this](std::uint64_t Fingerprint) {
+    Callbacks.Log("crashes_excused",
+                  {{"fingerprint", std::to_string(Fingerprint)}});
+    Fleet.excuseCrashes(Fingerprint);
+  };
   Result.QuarantinedAgain = [this](Instant At, std::uint64_t Fingerprint) {
     Fleet.renewCrashes(At, Fingerprint);
   };
--- a/direct/fleet_gossip.h
+++ b/direct/fleet_gossip.h
@@ -72,6 +72,10 @@
   /// Number of unexpired crashes that requests with \p Fingerprint are
   /// suspected of.
   std::size_t crashes(std::uint64_t Fingerprint) const;
+  /// See ExpiringNotices::excuseCrashes().
+  void excuseCrashes(std::uint64_t Fingerprint) {
+    Notices.excuseCrashes(Fingerprint);
+  }
   /// See ExpiringNotices::renewCrashes(). The other hosts get the notices again
   /// when theirs have expired.
   void renewCrashes(Instant Now, std::uint64_t Fingerprint) {
--- a/direct/request_flow.cpp
+++ b/direct/request_flow.cpp
@@ -255,6 +255,8 @@
   }
   Flow.MayHaveRun = true;
   if (isSuccess(Status) && Answer.Signed) {
+    if (Callbacks.CrashCount(Flow.Request.Fingerprint) > 0)
+      Callbacks.CrashesExcused(Flow.Request.Fingerprint);
     for (const CallId Slower : Flow.OpenCalls)
       if (Flow.Request.Route.Idempotent)
         ServerLoads.recordFailure(Now, Calls.at(Slower).Server,
--- a/direct/request_flow.h
+++ b/direct/request_flow.h
@@ -86,6 +86,8 @@
     std::function<std::size_t()> HostCount;
     /// Number of servers that requests with this fingerprint have crashed.
     std::function<std::size_t(std::uint64_t Fingerprint)> CrashCount;
+    /// A server has run a request that is suspected of crashes to its end.
+    std::function<void(std::uint64_t Fingerprint)> CrashesExcused;
     /// A request that has crashed too many servers has come again.
     std::function<void(Instant, std::uint64_t Fingerprint)> QuarantinedAgain;
     /// This host's position for a share of a server's limit.
--- a/tests/direct/fleet_gossip_test.cpp
+++ b/tests/direct/fleet_gossip_test.cpp
@@ -227,6 +227,17 @@
   EXPECT_EQ(fewestKnown(), 3U);
 }
 
+// Guards against refusing a request for good that servers run to its end.
+TEST_F(FleetGossipCrashTest, excuseCrashes_noticesExchangedAgain_stayExcused) {
+  gossip(2).excuseCrashes(Fingerprint);
+  startHost(5, "~2");
+  advanceTime(5s);
+  EXPECT_EQ(gossip(2).crashes(Fingerprint), 0U);
+  gossip(0).addCrash(Now, Fingerprint, ServerName("d"));
+  advanceTime(100ms);
+  EXPECT_EQ(gossip(2).crashes(Fingerprint), 1U);
+}
+
 // Guards against sending a request to servers again because all hosts that knew
 // of its crashes were killed at once.
 TEST_F(FleetGossipCrashTest, tick_allHostsRestartAtOnce_noHostForgets) {
--- a/tests/direct/flow_harness.cpp
+++ b/tests/direct/flow_harness.cpp
@@ -44,6 +44,9 @@
       throw std::logic_error("request finished twice");
   };
   Result.HostCount = [] { return std::size_t{1}; };
+  Result.CrashesExcused = [this](std::uint64_t Fingerprint) {
+    CrashCounts.erase(Fingerprint);
+  };
   Result.QuarantinedAgain = [](Instant, std::uint64_t) {};
   Result.Position = [](const ServerName &) { return HostPosition{}; };
   Result.CrashCount = [this](std::uint64_t Fingerprint) {
--- a/tests/direct/request_flow_test.cpp
+++ b/tests/direct/request_flow_test.cpp
@@ -488,6 +488,14 @@
   EXPECT_EQ(crashes("copy"), 0U);
 }
 
+// Guards against blaming a frequent request for servers that end by themselves.
+TEST_F(RequestFlowCrashTest, onAnswer_copyWasServed_crashesAreExcused) {
+  Harness.CrashCounts[FlowHarness::fingerprintOf("copy")] = 2;
+  Harness.start("copy");
+  Harness.answer(firstServer(), 200);
+  EXPECT_EQ(crashes("copy"), 0U);
+}
+
 // Guards against sending a request that was quarantined while it waited.
 TEST_F(RequestFlowCrashTest, start_quarantinedWhileHeld_isNotSent) {
   Harness.advance(1s);
