Count the end of a server once, however many hosts report it

Cause: each host with an open copy reports the same end of a server, and each report counted; one crash of one server under a frequent request reached three. Change: reports of a server within 3 s are of one end; a server that is back and ends again counts again.

Failed before: FleetGossipCrashTest.addCrash_sameEndSeenByAllHosts_countsOnce.

--- a/core/expiring_notices.cpp
+++ b/core/expiring_notices.cpp
@@ -6,6 +6,14 @@
 
 namespace mimosacart {
 
+namespace {
+
+/// Reports of a server's end that come within this time are of the same end; a
+/// server that crashed needs longer to be back and crash again.
+constexpr Duration SameEndInterval = std::chrono::seconds(3);
+
+} // namespace
+
 std::uint64_t fingerprintOf(std::string_view Service, std::string_view Kind,
                             std::string_view Target, std::string_view Body) {
   std::uint64_t Result = stableHash(Service);
@@ -60,7 +68,7 @@
   if (Remaining <= Duration::zero())
     return false;
   const CrashKey Key{Received.Fingerprint, Received.Server, Received.EventId};
-  return Crashes.emplace(Key, Crash{Now + Remaining}).second;
+  return Crashes.emplace(Key, Crash{Now + Remaining, Now}).second;
 }
 
 bool ExpiringNotices::isDraining(Instant Now, const ServerName &Server) const {
@@ -72,11 +80,23 @@
 std::size_t ExpiringNotices::crashCount(Instant Now,
                                         std::uint64_t Fingerprint) const {
   auto Next = Crashes.lower_bound({Fingerprint, ServerName(), 0});
-  std::size_t Count = 0;
+  std::map<ServerName, std::vector<Instant>> EndsByServer;
   for (; Next != Crashes.end(); ++Next) {
     if (Next->first.Fingerprint != Fingerprint)
       break;
-    Count += Next->second.ExpiresAt > Now && !Next->second.Excused ? 1 : 0;
+    if (Next->second.ExpiresAt > Now && !Next->second.Excused)
+      EndsByServer[Next->first.Server].push_back(Next->second.SeenAt);
+  }
+  std::size_t Count = 0;
+  for (auto &[Server, Ends] : EndsByServer) {
+    std::sort(Ends.begin(), Ends.end());
+    Instant Last = Ends.front();
+    ++Count;
+    for (const Instant End : Ends)
+      if (End - Last > SameEndInterval) {
+        ++Count;
+        Last = End;
+      }
   }
   return Count;
 }
--- a/core/expiring_notices.h
+++ b/core/expiring_notices.h
@@ -51,7 +51,7 @@
 
   bool isDraining(Instant Now, const ServerName &Server) const;
   /// Number of unexpired crashes that the request with \p Fingerprint is
-  /// suspected of.
+  /// suspected of. Several hosts may report the same end of a server.
   std::size_t crashCount(Instant Now, std::uint64_t Fingerprint) const;
 
   /// Stops counting the crashes known for \p Fingerprint, because a server has
@@ -89,6 +89,7 @@
   std::map<ServerName, Drain> Drains;
   struct Crash {
     Instant ExpiresAt{};
+    Instant SeenAt{};
     /// Whether the request is no longer suspected of it.
     bool Excused = false;
   };
--- a/tests/direct/fleet_gossip_test.cpp
+++ b/tests/direct/fleet_gossip_test.cpp
@@ -227,6 +227,21 @@
   EXPECT_EQ(fewestKnown(), 3U);
 }
 
+// Guards against blaming a request three times for one server that ended while
+// three hosts had copies of it open.
+TEST_F(FleetGossipCrashTest, addCrash_sameEndSeenByAllHosts_countsOnce) {
+  constexpr std::uint64_t Other = 9;
+  for (unsigned Number = 0; Number < 6; ++Number)
+    gossip(Number).addCrash(Now, Other, ServerName("a"));
+  advanceTime(1s);
+  EXPECT_EQ(gossip(0).crashes(Other), 1U);
+  // The server is back and ends again.
+  advanceTime(5s);
+  gossip(5).addCrash(Now, Other, ServerName("a"));
+  advanceTime(100ms);
+  EXPECT_EQ(gossip(0).crashes(Other), 2U);
+}
+
 // Guards against refusing a request for good that servers run to its end.
 TEST_F(FleetGossipCrashTest, excuseCrashes_noticesExchangedAgain_stayExcused) {
   gossip(2).excuseCrashes(Fingerprint);
