Keep the crashes of quarantined requests in the store

What callers saw: after all hosts were killed at once, a request that had crashed three servers was sent to servers again, and up to three more ended.

Change: CrashRecords (direct/) has a host that reported one of three crashes write a row for the request; the four hosts of the lowest ranks read the rows one second after their start and send the crashes to all hosts. Who wrote or read a row removes it when its crashes have expired. Failed calls are repeated every 2 s.

--- a/daemon/direct_host_process.cpp
+++ b/daemon/direct_host_process.cpp
@@ -122,6 +122,7 @@
       ServerHttp(IoContext, MaxAnswerBytes, MaxBufferedAnswerBytes),
       StoreHttp(IoContext, MaxAnswerBytes),
       Store(StoreHttp, Settings.PlatformAddress, StoreTimeout),
+      CrashRecordRows(Store, Log, makeCrashRecordHooks()),
       Peers(IoContext, [this](std::string_view Bytes) { onPeerBytes(Bytes); }),
       Core(now(), makeNodeSettings(Settings, Incarnation), makeCoreHooks()),
       RouteFollower(IoContext, Store, RoutesTableName, Log,
@@ -198,6 +199,19 @@
   Result.Log = [this](const char *Event, const FlowFields &Fields) {
     Log.info(Event, Fields);
   };
+  Result.Records = CrashRecordRows.coreHooks();
+  return Result;
+}
+
+CrashRecordStore::Hooks DirectHostProcess::makeCrashRecordHooks() {
+  CrashRecordStore::Hooks Result;
+  Result.Changed = [this](std::uint64_t Fingerprint, bool Succeeded) {
+    Core.onCrashRecordChanged(Fingerprint, Succeeded);
+  };
+  Result.Read = [this](std::vector<CrashNotice> Recorded) {
+    Core.onCrashRecordsRead(now(), std::move(Recorded));
+    finishEvent();
+  };
   return Result;
 }
 
@@ -336,7 +350,7 @@
     return;
   }
   const std::uint64_t StoreCalls =
-      RouteFollower.calls() + ServerFollower.calls();
+      RouteFollower.calls() + ServerFollower.calls() + CrashRecordRows.calls();
   Exchange.respond(makeTextPage(
       StatusOk, HostMetrics.render(Core, Peers.counters(), StoreCalls,
                                    CallerEndpoint.connections())));
--- a/daemon/direct_host_process.h
+++ b/daemon/direct_host_process.h
@@ -3,6 +3,7 @@
 /// to sockets, timers, clocks and the store.
 #pragma once
 
+#include "daemon/crash_record_store.h"
 #include "daemon/direct_metrics.h"
 #include "daemon/event_log.h"
 #include "daemon/table_follower.h"
@@ -45,6 +46,7 @@
 
   Instant now() const;
   DirectNode::Hooks makeCoreHooks();
+  CrashRecordStore::Hooks makeCrashRecordHooks();
   TableFollower::Hooks makeFollowerHooks(StoreTable Table);
   void onCallerRequest(HttpRequest Request,
                        std::shared_ptr<HttpExchange> Exchange);
@@ -82,6 +84,7 @@
   HttpClient ServerHttp;
   HttpClient StoreHttp;
   StoreClient Store;
+  CrashRecordStore CrashRecordRows;
   PeerTransport Peers;
   DirectNode Core;
   TableFollower RouteFollower;
--- /dev/null
+++ b/direct/crash_records.cpp
@@ -0,0 +1,74 @@
+#include "direct/crash_records.h"
+
+#include <algorithm>
+
+namespace mimosacart {
+
+void CrashRecords::onCrashReported(std::uint64_t Fingerprint) {
+  Records.try_emplace(Fingerprint);
+}
+
+void CrashRecords::onChanged(std::uint64_t Fingerprint, bool Succeeded) {
+  const auto Found = Records.find(Fingerprint);
+  if (Found == Records.end())
+    return;
+  Record &Entry = Found->second;
+  if (Succeeded && Entry.Removing)
+    Records.erase(Found);
+  else if (Succeeded || Entry.Removing)
+    Entry.State = RecordState::Written;
+  else
+    Entry.State = RecordState::Unwritten;
+}
+
+void CrashRecords::onRead(const std::vector<CrashNotice> &Recorded) {
+  HasRead = true;
+  for (const CrashNotice &Notice : Recorded)
+    Records[Notice.Fingerprint].State = RecordState::Written;
+}
+
+void CrashRecords::tick(Instant Now, std::size_t Rank,
+                        const ExpiringNotices &Notices) {
+  readOnce(Now, Rank);
+  for (auto Next = Records.begin(); Next != Records.end();) {
+    const auto Position = Next++;
+    if (update(Now, Position->first, Position->second, Notices))
+      Records.erase(Position);
+  }
+}
+
+void CrashRecords::readOnce(Instant Now, std::size_t Rank) {
+  if (!NextReadAt)
+    NextReadAt = Now + DiscoveryTime;
+  if (HasRead || Rank >= ReaderCount || Now < *NextReadAt)
+    return;
+  NextReadAt = Now + RetryInterval;
+  Callbacks.Read();
+}
+
+bool CrashRecords::update(Instant Now, std::uint64_t Fingerprint, Record &Entry,
+                          const ExpiringNotices &Notices) {
+  if (Entry.State == RecordState::Changing || Now < Entry.RetryAt)
+    return false;
+  const std::size_t Crashes = Notices.crashCount(Now, Fingerprint);
+  const bool IsWritten = Entry.State == RecordState::Written;
+  if (!IsWritten && Crashes == 0)
+    return true;
+  const bool Write = !IsWritten && Crashes >= MinCrashes;
+  const bool Remove = IsWritten && Crashes == 0;
+  if (!Write && !Remove)
+    return false;
+  Entry = {RecordState::Changing, Remove, Now + RetryInterval};
+  if (Remove) {
+    Callbacks.Remove(Fingerprint);
+    return false;
+  }
+  std::vector<CrashNotice> Recorded = Notices.crashes(Now);
+  std::erase_if(Recorded, [Fingerprint](const CrashNotice &Notice) {
+    return Notice.Fingerprint != Fingerprint;
+  });
+  Callbacks.Write(Fingerprint, Recorded);
+  return false;
+}
+
+} // namespace mimosacart
--- a/direct/direct_node.cpp
+++ b/direct/direct_node.cpp
@@ -35,7 +35,8 @@
       Fleet(Settings.Fleet,
             {{StoreTable::Routes, &RouteRows},
              {StoreTable::Servers, &ServerRows}},
-            {Callbacks.Send, Callbacks.SetReadMode, Callbacks.Log}),
+            {Callbacks.Send, Callbacks.SetReadMode, Callbacks.Log,
+             Callbacks.Records}),
       Flow(Settings.Flow, Settings.Retries,
            ServerRanking(Settings.Ranking, Settings.Fleet.Self.DataCentre,
                          Settings.Fleet.RandomSeed),
@@ -188,6 +189,12 @@
   Fleet.setSeeds(std::move(Addresses));
 }
 
+void DirectNode::onCrashRecordsRead(Instant At,
+                                    std::vector<CrashNotice> Recorded) {
+  Now = At;
+  Fleet.onCrashRecordsRead(Now, std::move(Recorded));
+}
+
 void DirectNode::onStop(Instant At) {
   Now = At;
   Stopping = true;
--- a/direct/direct_node.h
+++ b/direct/direct_node.h
@@ -59,6 +59,7 @@
     /// Called when a configuration has come into force.
     std::function<void(const RouteConfiguration &)> Configured;
     FlowLogHook Log;
+    CrashRecords::Hooks Records;
   };
 
   DirectNode(Instant Now, DirectNodeSettings Settings, Hooks Callbacks);
@@ -89,6 +90,12 @@
   void onStoreRegained(Instant Now);
   /// Sets the addresses of peers that the store lists.
   void onPeerAddresses(std::vector<std::string> Addresses);
+  /// See CrashRecords::onChanged().
+  void onCrashRecordChanged(std::uint64_t Fingerprint, bool Succeeded) {
+    Fleet.onCrashRecordChanged(Fingerprint, Succeeded);
+  }
+  /// See FleetGossip::onCrashRecordsRead().
+  void onCrashRecordsRead(Instant Now, std::vector<CrashNotice> Recorded);
   /// Begins a planned stop, so that callers use other hosts.
   void onStop(Instant Now);
   /// Sends the last message before the process exits.
--- a/direct/fleet_gossip.cpp
+++ b/direct/fleet_gossip.cpp
@@ -32,7 +32,7 @@
                          Hooks Callbacks)
     : Settings(std::move(InitialSettings)), Callbacks(std::move(Callbacks)),
       LastEvent(Settings.RandomSeed), Random(Settings.RandomSeed),
-      Notices(CrashNoticeLifetimes),
+      Notices(CrashNoticeLifetimes), Records(this->Callbacks.Records),
       Sync(Settings.Self.Host, Settings.Sync, Tables, syncHooks()),
       Members(Settings.Self, Settings.Seeds, Settings.Times,
               Settings.RandomSeed, membershipHooks()) {
@@ -142,6 +142,7 @@
   sendMemberUpdates();
   refreshMembers();
   Sync.tick(Now);
+  Records.tick(Now, Sync.rank(), Notices);
 }
 
 void FleetGossip::setSeeds(std::vector<std::string> Addresses) {
@@ -193,12 +194,27 @@
 void FleetGossip::addCrash(Instant At, std::uint64_t Fingerprint,
                            const ServerName &Server) {
   Now = At;
+  Records.onCrashReported(Fingerprint);
   SoftState Updates;
   Updates.Crashes.push_back(
       Notices.addCrash(Now, Fingerprint, Server, ++LastEvent));
   disseminate(std::move(Updates));
 }
 
+void FleetGossip::onCrashRecordsRead(Instant At,
+                                     std::vector<CrashNotice> Recorded) {
+  Now = At;
+  Records.onRead(Recorded);
+  SoftState Updates;
+  for (CrashNotice &Notice : Recorded) {
+    Notice.Remaining = CrashNoticeLifetimes.CrashLifetime;
+    if (Notices.mergeCrash(Now, Notice))
+      Updates.Crashes.push_back(Notice);
+  }
+  if (!Updates.Crashes.empty())
+    disseminate(std::move(Updates));
+}
+
 std::size_t FleetGossip::crashes(std::uint64_t Fingerprint) const {
   return Notices.crashCount(Now, Fingerprint);
 }
--- a/direct/fleet_gossip.h
+++ b/direct/fleet_gossip.h
@@ -6,6 +6,7 @@
 #include "core/delay_estimator.h"
 #include "core/expiring_notices.h"
 #include "core/membership.h"
+#include "direct/crash_records.h"
 #include "direct/dissemination_plan.h"
 #include "direct/flow_types.h"
 #include "direct/server_constraints.h"
@@ -38,6 +39,7 @@
     /// Sets how this host reads the store from now on.
     std::function<void(ReadMode)> SetReadMode;
     FlowLogHook Log;
+    CrashRecords::Hooks Records;
   };
 
   FleetGossip(FleetSettings Settings,
@@ -81,6 +83,13 @@
   void renewCrashes(Instant Now, std::uint64_t Fingerprint) {
     Notices.renewCrashes(Now, Fingerprint);
   }
+  /// See CrashRecords::onChanged().
+  void onCrashRecordChanged(std::uint64_t Fingerprint, bool Succeeded) {
+    Records.onChanged(Fingerprint, Succeeded);
+  }
+  /// Takes over the crashes that earlier incarnations of hosts recorded in the
+  /// store, and sends them to all hosts.
+  void onCrashRecordsRead(Instant Now, std::vector<CrashNotice> Recorded);
   /// Number of unexpired crash notices that this host holds.
   std::size_t crashNotices() const { return Notices.crashes(Now).size(); }
 
@@ -144,6 +153,7 @@
   std::uint64_t LastEvent = 0;
   std::mt19937_64 Random;
   ExpiringNotices Notices;
+  CrashRecords Records;
   /// Changes of members that this host observed and has not sent yet.
   std::map<HostName, MemberRecord> MemberUpdates;
   /// Whether the members changed since the last refreshMembers().
--- a/tests/direct/fleet_gossip_test.cpp
+++ b/tests/direct/fleet_gossip_test.cpp
@@ -70,6 +70,7 @@
     };
     Callbacks.SetReadMode = [](ReadMode) {};
     Callbacks.Log = [](const char *, const FlowFields &) {};
+    Callbacks.Records = recordHooks(Address);
     NewHost.Gossip = std::make_unique<FleetGossip>(
         Settings,
         std::map<StoreTable, TableCache *>{
@@ -78,6 +79,30 @@
         Callbacks);
   }
 
+  CrashRecords::Hooks recordHooks(const std::string &Address) {
+    CrashRecords::Hooks Result;
+    Result.Write = [this, Address](std::uint64_t Fingerprint,
+                                   const std::vector<CrashNotice> &Crashes) {
+      if (StoreAnswers)
+        StoredCrashes[Fingerprint] = Crashes;
+      Hosts.at(Address).Gossip->onCrashRecordChanged(Fingerprint, StoreAnswers);
+    };
+    Result.Remove = [this, Address](std::uint64_t Fingerprint) {
+      if (StoreAnswers)
+        StoredCrashes.erase(Fingerprint);
+      Hosts.at(Address).Gossip->onCrashRecordChanged(Fingerprint, StoreAnswers);
+    };
+    Result.Read = [this, Address] {
+      ++RecordReads;
+      std::vector<CrashNotice> Recorded;
+      for (const auto &[Fingerprint, Crashes] : StoredCrashes)
+        Recorded.insert(Recorded.end(), Crashes.begin(), Crashes.end());
+      if (StoreAnswers)
+        Hosts.at(Address).Gossip->onCrashRecordsRead(Now, Recorded);
+    };
+    return Result;
+  }
+
   void enqueue(const std::string &From, const std::string &To,
                const PeerMessage &Message) {
     if (Hosts.at(From).Down)
@@ -125,6 +150,10 @@
   std::uint64_t MessagesSent = 0;
   /// Member records sent from one data centre to another.
   std::uint64_t MembersAcrossDataCentres = 0;
+  /// Crashes recorded in the store, by the fingerprint of the request.
+  std::map<std::uint64_t, std::vector<CrashNotice>> StoredCrashes;
+  bool StoreAnswers = true;
+  unsigned RecordReads = 0;
 };
 
 TEST_F(FleetGossipTest, tick_allStartAtOnce_allViewsAreFullWithin3s) {
@@ -262,5 +291,47 @@
   EXPECT_EQ(fewestKnown(), 3U);
 }
 
+TEST_F(FleetGossipCrashTest, tick_storeAwayAtTheThirdCrash_isRecordedLater) {
+  constexpr std::uint64_t Other = 9;
+  StoreAnswers = false;
+  for (const char *Server : {"a", "b", "c"})
+    gossip(2).addCrash(Now, Other, ServerName(Server));
+  advanceTime(3s);
+  EXPECT_FALSE(StoredCrashes.contains(Other));
+  StoreAnswers = true;
+  advanceTime(3s);
+  EXPECT_EQ(StoredCrashes.at(Other).size(), 3U);
+}
+
+TEST_F(FleetGossipCrashTest, tick_twoCrashes_nothingIsRecorded) {
+  constexpr std::uint64_t Other = 9;
+  for (const char *Server : {"a", "b"})
+    gossip(2).addCrash(Now, Other, ServerName(Server));
+  advanceTime(3s);
+  EXPECT_FALSE(StoredCrashes.contains(Other));
+}
+
+TEST_F(FleetGossipCrashTest, tick_crashesExpire_recordIsRemoved) {
+  ASSERT_TRUE(StoredCrashes.contains(Fingerprint));
+  advanceTime(61s);
+  EXPECT_TRUE(StoredCrashes.empty());
+}
+
+// Also if the host that wrote the record has ended since.
+TEST_F(FleetGossipCrashTest, tick_crashesExpireAfterRestart_recordIsRemoved) {
+  for (unsigned Number = 0; Number < 6; ++Number)
+    startHost(Number, "~2");
+  advanceTime(3s);
+  ASSERT_TRUE(StoredCrashes.contains(Fingerprint));
+  advanceTime(61s);
+  EXPECT_TRUE(StoredCrashes.empty());
+}
+
+TEST_F(FleetGossipTest, tick_allStartAtOnce_fewHostsReadCrashRecords) {
+  startFleet(60);
+  advanceTime(6s);
+  EXPECT_LE(RecordReads, 2 * CrashRecords::ReaderCount);
+}
+
 } // namespace
 } // namespace mimosacart
--- a/tests/platform/row_codec_test.cpp
+++ b/tests/platform/row_codec_test.cpp
@@ -216,5 +216,27 @@
   }
 }
 
+TEST(RowCodecTest, readCrashes_writtenCrashes_areEqual) {
+  constexpr std::uint64_t Fingerprint = 0xFEDCBA9876543210;
+  const std::vector<CrashNotice> Crashes = {
+      {Fingerprint, ServerName("i-1"), 1, {}},
+      {Fingerprint, ServerName("i-2"), ~std::uint64_t{0}, {}}};
+  const TableRow Row{writeCrashKey(Fingerprint), 1, false,
+                     writeCrashes(Crashes)};
+  EXPECT_EQ(readCrashes(Row), Crashes);
+}
+
+TEST(RowCodecTest, readCrashes_foreignRow_holdsNoCrashes) {
+  const std::string Value = writeCrashes({{7, ServerName("i-1"), 1, {}}});
+  EXPECT_TRUE(readCrashes({"", 1, false, Value}).empty());
+  EXPECT_TRUE(readCrashes({"not hexadecimal", 1, false, Value}).empty());
+  EXPECT_TRUE(readCrashes({"1ffffffffffffffff", 1, false, Value}).empty());
+  for (const char *Foreign :
+       {"", "{", "7", "[7]", "{}", R"([{"server":"i-1"}])",
+        R"([{"server":"i-1","event":-1}])", R"([{"server":4,"event":1}])"})
+    EXPECT_TRUE(readCrashes({writeCrashKey(7), 1, false, Foreign}).empty())
+        << Foreign;
+}
+
 } // namespace
 } // namespace mimosacart
