Forward large updates of table rows from host to host

Change: updates are sent in parts of 16 KB, to five hosts of the own data centre and one of each other, which forward them to the rest of theirs along a list in the message. A single row over 64 KB is still read from the store. In fleets in which hosts forward, a host that is behind asks a peer after 400 ms and reads the store after 900 ms. The backup reader does not repeat rows that reached it by way of another peer.

Failed before: FleetGossipServersRegisterTest.onStoreRead_* (rows reach all, followers do not read), checked with updates sent without rows.

--- a/core/peer_messages.h
+++ b/core/peer_messages.h
@@ -307,6 +307,8 @@
   std::vector<TableRow> Rows;
   /// Whether the receiver forwards these rows to the hosts of its data centre.
   bool ForwardInDataCentre = false;
+  /// Addresses of the peers that the receiver provides with these rows.
+  std::vector<std::string> ForwardTo;
 };
 
 using PeerBody =
--- a/direct/dissemination_plan.cpp
+++ b/direct/dissemination_plan.cpp
@@ -2,6 +2,7 @@
 
 #include "core/hash.h"
 
+#include <algorithm>
 #include <map>
 #include <tuple>
 
@@ -9,31 +10,65 @@
 
 namespace {
 
-/// Sort key for the choice of a relay: hosts that answer pings come first, then
-/// the order of a hash that is equal on every host.
+/// Sort key for the choice of hosts that forward updates: hosts that answer
+/// pings come first, then the order of a hash that is equal on every host.
 auto relayOrder(const MemberRecord &Peer) {
   return std::tuple(Peer.Status, stableHash(Peer.Host.value()));
 }
 
+/// Addresses of \p Peers by data centre in the order of relayOrder(), each
+/// once although a host that has restarted may be known under two names.
+std::map<std::string, std::vector<std::string>>
+groupByDataCentre(std::vector<MemberRecord> Peers) {
+  std::sort(Peers.begin(), Peers.end(),
+            [](const MemberRecord &Left, const MemberRecord &Right) {
+              return relayOrder(Left) < relayOrder(Right);
+            });
+  std::map<std::string, std::vector<std::string>> Result;
+  for (const MemberRecord &Peer : Peers) {
+    std::vector<std::string> &Group = Result[Peer.DataCentre];
+    if (std::find(Group.begin(), Group.end(), Peer.PeerAddress) == Group.end())
+      Group.push_back(Peer.PeerAddress);
+  }
+  return Result;
+}
+
 } // namespace
 
+std::vector<ForwardingTarget>
+splitForwarding(const std::vector<std::string> &Addresses) {
+  std::vector<ForwardingTarget> Result;
+  for (std::size_t Index = 0; Index < Addresses.size(); ++Index) {
+    if (Index < ForwardingFanOut)
+      Result.push_back({Addresses[Index], {}});
+    else
+      Result[Index % ForwardingFanOut].ForwardTo.push_back(Addresses[Index]);
+  }
+  return Result;
+}
+
 DisseminationPlan::DisseminationPlan(const std::string &DataCentre,
                                      const std::vector<MemberRecord> &Peers) {
   const bool Direct = Peers.size() <= MaxDirectPeers;
-  std::map<std::string, const MemberRecord *> Relays;
-  for (const MemberRecord &Peer : Peers) {
-    if (Peer.DataCentre == DataCentre)
-      LocalPeers.push_back(Peer.PeerAddress);
-    if (Direct || Peer.DataCentre == DataCentre) {
-      Targets.push_back({Peer.PeerAddress, false});
-      continue;
-    }
-    const MemberRecord *&Relay = Relays[Peer.DataCentre];
-    if (Relay == nullptr || relayOrder(Peer) < relayOrder(*Relay))
-      Relay = &Peer;
+  for (auto &[PeerDataCentre, Group] : groupByDataCentre(Peers)) {
+    const bool IsLocal = PeerDataCentre == DataCentre;
+    if (Direct || IsLocal)
+      for (const std::string &Address : Group)
+        Targets.push_back({Address, false});
+    else
+      Targets.push_back({Group.front(), true});
+    if (IsLocal)
+      LocalPeers = std::move(Group);
+    else
+      RemotePeers.push_back(std::move(Group));
   }
-  for (const auto &[RelayDataCentre, Relay] : Relays)
-    Targets.push_back({Relay->PeerAddress, true});
+}
+
+std::vector<ForwardingTarget> DisseminationPlan::forwardingTargets() const {
+  std::vector<ForwardingTarget> Result = splitForwarding(LocalPeers);
+  for (const std::vector<std::string> &Group : RemotePeers)
+    Result.push_back({Group.front(), {Group.begin() + 1, Group.end()}});
+  return Result;
 }
 
 } // namespace mimosacart
--- a/direct/dissemination_plan.h
+++ b/direct/dissemination_plan.h
@@ -20,6 +20,25 @@
                          const DisseminationTarget &) = default;
 };
 
+/// One host to which many rows are sent, and the hosts that it forwards them
+/// to.
+struct ForwardingTarget {
+  std::string Address;
+  std::vector<std::string> ForwardTo;
+
+  friend bool operator==(const ForwardingTarget &,
+                         const ForwardingTarget &) = default;
+};
+
+/// Largest number of hosts to which one host sends a copy of many rows within
+/// its data centre. Bounds the load of its link.
+inline constexpr std::size_t ForwardingFanOut = 5;
+
+/// Divides \p Addresses into up to ForwardingFanOut groups of similar size. The
+/// first host of each forwards to the others.
+std::vector<ForwardingTarget>
+splitForwarding(const std::vector<std::string> &Addresses);
+
 /// In a small fleet, a host sends updates to all peers directly. In a larger
 /// one it sends them to the hosts of its own data centre and to one relay in
 /// each other data centre. Hosts that miss an update because a relay failed
@@ -35,12 +54,18 @@
 
   /// Targets of updates that originate at this host.
   const std::vector<DisseminationTarget> &targets() const { return Targets; }
+  /// Targets of updates so large that not all hosts of a data centre can get
+  /// their copies from one host. The order of the hosts is the same for all
+  /// updates until the members change, so that updates arrive in order.
+  std::vector<ForwardingTarget> forwardingTargets() const;
   /// Addresses of the other hosts of this host's data centre.
   const std::vector<std::string> &localPeers() const { return LocalPeers; }
 
 private:
   std::vector<DisseminationTarget> Targets;
   std::vector<std::string> LocalPeers;
+  /// Addresses of the peers in each other data centre.
+  std::vector<std::vector<std::string>> RemotePeers;
 };
 
 } // namespace mimosacart
--- a/direct/fleet_gossip.cpp
+++ b/direct/fleet_gossip.cpp
@@ -20,6 +20,9 @@
 constexpr std::size_t ViewBuckets = 32;
 /// Largest number of members that are sent to a host that was unknown here.
 constexpr std::size_t MaxInitialMembers = 24;
+/// Smaller updates of table rows are sent to all hosts of a data centre by one
+/// of them.
+constexpr std::size_t MinForwardedBytes = 2U << 10U;
 /// Each host with an open request reports the same crash of a server. A server
 /// that crashed needs longer to be back and crash again.
 constexpr NoticeLifetimes CrashNoticeLifetimes = {.SameEndInterval =
@@ -44,7 +47,9 @@
   Result.Send = [this](const HostName &Host, PeerBody Body) {
     sendTo(Host, std::move(Body));
   };
-  Result.Broadcast = [this](const TableRows &Updates) { disseminate(Updates); };
+  Result.Broadcast = [this](const TableRows &Updates) {
+    broadcastRows(Updates);
+  };
   Result.SetReadMode = Callbacks.SetReadMode;
   Result.Log = Callbacks.Log;
   return Result;
@@ -83,6 +88,24 @@
   }
 }
 
+void FleetGossip::broadcastRows(TableRows Updates) {
+  if (countBytes(Updates.Rows) < MinForwardedBytes) {
+    disseminate(std::move(Updates));
+    return;
+  }
+  refreshMembers();
+  forwardRows(Updates, Dissemination.forwardingTargets());
+}
+
+void FleetGossip::forwardRows(const TableRows &Updates,
+                              const std::vector<ForwardingTarget> &Targets) {
+  TableRows Copy = Updates;
+  for (const ForwardingTarget &Target : Targets) {
+    Copy.ForwardTo = Target.ForwardTo;
+    send(Target.Address, Copy);
+  }
+}
+
 template <typename Body>
 void FleetGossip::forwardInDataCentre(const HostName &From, Body Updates) {
   refreshMembers();
@@ -342,12 +365,15 @@
 }
 
 void FleetGossip::handle(const HostName &From, const TableRows &Message) {
-  if (Message.ForwardInDataCentre) {
+  if (Message.ForwardInDataCentre || !Message.ForwardTo.empty()) {
     TableRows Forwarded = Message;
     // The receiver sees only the delay of the last hop.
     if (Forwarded.ConfirmedAgo)
       *Forwarded.ConfirmedAgo += MessageDelay;
-    forwardInDataCentre(From, std::move(Forwarded));
+    if (Message.ForwardTo.empty())
+      forwardInDataCentre(From, std::move(Forwarded));
+    else
+      forwardRows(Forwarded, splitForwarding(Message.ForwardTo));
   }
   Sync.onRows(Now, From, Message, MessageDelay);
 }
--- a/direct/fleet_gossip.h
+++ b/direct/fleet_gossip.h
@@ -108,6 +108,11 @@
   void sendTo(const HostName &Host, PeerBody Body);
   /// Sends \p Updates to all hosts, directly or through relays.
   template <typename Body> void disseminate(Body Updates);
+  /// Sends table rows to all hosts. If there are many, hosts forward them to
+  /// each other.
+  void broadcastRows(TableRows Updates);
+  void forwardRows(const TableRows &Updates,
+                   const std::vector<ForwardingTarget> &Targets);
   /// Forwards updates that came from \p From to the other hosts of this data
   /// centre.
   template <typename Body>
--- a/direct/table_cache.cpp
+++ b/direct/table_cache.cpp
@@ -12,6 +12,46 @@
 
 } // namespace
 
+std::size_t countBytes(const std::vector<TableRow> &Rows) {
+  std::size_t Bytes = 0;
+  for (const TableRow &Row : Rows)
+    Bytes += Row.Key.size() + Row.Value.size();
+  return Bytes;
+}
+
+std::vector<TableRows> splitUpdate(TableRows Update, std::size_t MaxBytes) {
+  if (Update.Whole || countBytes(Update.Rows) <= MaxBytes)
+    return {std::move(Update)};
+  std::vector<TableRow> Rows = std::move(Update.Rows);
+  std::sort(Rows.begin(), Rows.end(),
+            [](const TableRow &Left, const TableRow &Right) {
+              return Left.Version < Right.Version;
+            });
+  Update.Rows.clear();
+  TableRows Part = Update;
+  Part.ConfirmedAgo.reset();
+  std::vector<TableRows> Result;
+  std::size_t Bytes = 0;
+  for (TableRow &Row : Rows) {
+    const std::size_t RowBytes = Row.Key.size() + Row.Value.size();
+    if (!Part.Rows.empty() && Bytes + RowBytes > MaxBytes) {
+      // One transaction may have changed several rows. Its version is complete
+      // only with the last of them.
+      Part.UpTo = std::min(Part.Rows.back().Version, Row.Version - 1);
+      Result.push_back(Part);
+      Part.After = Part.UpTo;
+      Part.Rows.clear();
+      Bytes = 0;
+    }
+    Bytes += RowBytes;
+    Part.Rows.push_back(std::move(Row));
+  }
+  Part.UpTo = Update.UpTo;
+  Part.ConfirmedAgo = Update.ConfirmedAgo;
+  Result.push_back(std::move(Part));
+  return Result;
+}
+
 void TableCache::apply(const std::vector<TableRow> &Changes,
                        std::uint64_t UpTo) {
   for (const TableRow &Row : Changes)
--- a/direct/table_cache.h
+++ b/direct/table_cache.h
@@ -11,6 +11,14 @@
 
 namespace mimosacart {
 
+/// Number of bytes in the keys and values of \p Rows.
+std::size_t countBytes(const std::vector<TableRow> &Rows);
+
+/// Divides an update of changed rows into updates of at most \p MaxBytes, or of
+/// one row if that is larger. Together, and applied in this order, they have
+/// the same effect; the last one alone carries the confirmation.
+std::vector<TableRows> splitUpdate(TableRows Update, std::size_t MaxBytes);
+
 /// Caches the rows of one table by key. A row never goes back to an older
 /// version, whether updates come from the store or from peers.
 class TableCache {
--- a/direct/table_sync.cpp
+++ b/direct/table_sync.cpp
@@ -1,6 +1,7 @@
 #include "direct/table_sync.h"
 
 #include "core/hash.h"
+#include "direct/dissemination_plan.h"
 
 #include <algorithm>
 
@@ -16,13 +17,6 @@
   return std::max(Cache.version(), Cache.latestRowVersion());
 }
 
-std::size_t countBytes(const std::vector<TableRow> &Rows) {
-  std::size_t Bytes = 0;
-  for (const TableRow &Row : Rows)
-    Bytes += Row.Key.size() + Row.Value.size();
-  return Bytes;
-}
-
 /// Orders \p Members by a hash that is equal on every host. The first two,
 /// which are the readers, are in different data centres if there are several.
 std::vector<MemberRecord> orderByRank(std::vector<MemberRecord> Members) {
@@ -91,7 +85,7 @@
 }
 
 bool TableSync::isUpdateOverdue(Instant Now) const {
-  const Instant Since = Now - Times.UpdateTimeout;
+  const Instant Since = Now - updateTimeout();
   return std::any_of(Tables.begin(), Tables.end(), [Since](const auto &Entry) {
     const TableState &State = Entry.second;
     return State.NewerPeer && State.PendingSince <= Since &&
@@ -109,7 +103,7 @@
   if (State.NewerPeer && Known >= State.PendingVersion) {
     State.PendingVersion = State.NewerVersion;
     State.PendingSince = State.NewerVersionAt;
-    State.RequestAt = State.NewerVersionAt + Times.RequestAfter;
+    State.RequestAt = State.NewerVersionAt + requestAfter();
   }
 }
 
@@ -124,13 +118,25 @@
     }
     if (!State.NewerPeer || Now < State.RequestAt)
       continue;
-    State.RequestAt = Now + Times.RequestAfter * 2;
+    State.RequestAt = Now + requestAfter() * 2;
     Callbacks.Send(*State.NewerPeer,
                    TableRequest{Table, State.Cache->latestRowVersion()});
   }
   updateReadMode(Now);
 }
 
+bool TableSync::isLargeFleet() const {
+  return Peers.size() > DisseminationPlan::MaxDirectPeers;
+}
+
+Duration TableSync::updateTimeout() const {
+  return isLargeFleet() ? Times.LargeFleetUpdateTimeout : Times.UpdateTimeout;
+}
+
+Duration TableSync::requestAfter() const {
+  return isLargeFleet() ? Times.LargeFleetRequestAfter : Times.RequestAfter;
+}
+
 Duration TableSync::confirmationTimeout() const {
   if (Rank < ReaderCount)
     return Times.BackupConfirmationTimeout;
@@ -207,11 +213,19 @@
 void TableSync::broadcastUpdate(Instant Now, StoreTable Table,
                                 const TableState &State, std::uint64_t After) {
   TableRows Update = makeUpdate(Now, Table, State, After);
-  if (countBytes(Update.Rows) > Times.MaxUpdateBytes) {
+  const bool HasLargeRow = std::any_of(
+      Update.Rows.begin(), Update.Rows.end(), [this](const TableRow &Row) {
+        return Row.Value.size() > Times.MaxRowBytes;
+      });
+  const bool CannotSplit =
+      Update.Whole && countBytes(Update.Rows) > Times.MaxUpdateBytes;
+  if (HasLargeRow || CannotSplit) {
     Update.Rows.clear();
     Update.After = Update.UpTo;
   }
-  Callbacks.Broadcast(Update);
+  for (const TableRows &Part :
+       splitUpdate(std::move(Update), Times.MaxUpdateBytes))
+    Callbacks.Broadcast(Part);
 }
 
 void TableSync::recordNewerVersion(Instant Now, TableState &State,
@@ -226,7 +240,7 @@
     State.PendingSince = Now;
     // A host without any rows cannot serve, so it requests them at once.
     State.RequestAt =
-        State.Cache->latestRowVersion() == 0 ? Now : Now + Times.RequestAfter;
+        State.Cache->latestRowVersion() == 0 ? Now : Now + requestAfter();
   }
   if (Version < State.NewerVersion)
     return;
@@ -253,9 +267,10 @@
                        const TableRows &Message, Duration Delay) {
   TableState &State = Tables.at(Message.Table);
   // The backup reader does not send rows that the primary reader, the first
-  // peer in its list, has sent.
+  // peer in its list, has sent. Other peers may have forwarded them.
   const bool FromPrimary = !Peers.empty() && From == Peers.front();
-  if (FromPrimary && Message.UpTo >= State.Cache->latestRowVersion())
+  const bool SentByPrimary = FromPrimary || !Message.Rows.empty();
+  if (SentByPrimary && Message.UpTo >= State.Cache->latestRowVersion())
     State.BackupSendAt.reset();
   // Rows that start after a version that this host lacks would leave a gap.
   const bool IsContiguous =
--- a/direct/table_sync.h
+++ b/direct/table_sync.h
@@ -21,9 +21,15 @@
   /// A host that still lacks the rows after this time requests them from the
   /// peer that has the later version.
   Duration RequestAfter = std::chrono::milliseconds(800);
-  /// Larger updates are broadcast without their rows: the link of the one
-  /// sender would delay them, while each host can read them from the store.
+  /// The same two in a fleet so large that peers forward updates to each other.
+  /// A host asks a peer before it reads the store.
+  Duration LargeFleetUpdateTimeout = std::chrono::milliseconds(900);
+  Duration LargeFleetRequestAfter = std::chrono::milliseconds(400);
+  /// Larger updates are broadcast in parts.
   std::size_t MaxUpdateBytes = 16U << 10U;
+  /// An update with a larger row is broadcast without its rows: forwarding it
+  /// takes longer than it takes each host to read the store.
+  std::size_t MaxRowBytes = 64U << 10U;
   /// A host that is not a reader reads the store itself after this long without
   /// a confirmation that its rows are up to date.
   Duration ConfirmationTimeout = std::chrono::milliseconds(1500);
@@ -144,12 +150,17 @@
   /// confirmation.
   static TableRows makeUpdate(Instant Now, StoreTable Table,
                               const TableState &State, std::uint64_t After);
-  /// Sends the update to all other hosts, without rows if it is too large.
+  /// Sends the update to all other hosts in parts, without rows if one of them
+  /// is too large.
   void broadcastUpdate(Instant Now, StoreTable Table, const TableState &State,
                        std::uint64_t After);
   void updateReadMode(Instant Now);
   /// Time without a confirmation after which this host reads the store itself.
   Duration confirmationTimeout() const;
+  Duration updateTimeout() const;
+  Duration requestAfter() const;
+  /// Whether hosts forward updates to each other.
+  bool isLargeFleet() const;
   void setMode(ReadMode NewMode, const char *Reason);
   /// Whether all tables were confirmed to be up to date at \p Since or later.
   bool confirmedSince(Instant Since) const;
--- a/tests/direct/fleet_gossip_test.cpp
+++ b/tests/direct/fleet_gossip_test.cpp
@@ -20,6 +20,9 @@
     std::unique_ptr<FleetGossip> Gossip;
     std::string DataCentre;
     bool Down = false;
+    /// Bytes of table rows that this host sent.
+    std::uint64_t RowBytesSent = 0;
+    ReadMode Mode = ReadMode::None;
     /// Member records that this host sent.
     std::uint64_t MembersSent = 0;
   };
@@ -68,7 +71,9 @@
                                      const PeerMessage &Message) {
       enqueue(Address, To, Message);
     };
-    Callbacks.SetReadMode = [](ReadMode) {};
+    Callbacks.SetReadMode = [this, Address](ReadMode Mode) {
+      Hosts.at(Address).Mode = Mode;
+    };
     Callbacks.Log = [](const char *, const FlowFields &) {};
     Callbacks.Records = recordHooks(Address);
     NewHost.Gossip = std::make_unique<FleetGossip>(
@@ -113,6 +118,8 @@
       if (Hosts.at(From).DataCentre != Hosts.at(To).DataCentre)
         MembersAcrossDataCentres += Updates->Members.size();
     }
+    if (const auto *Rows = std::get_if<TableRows>(&Message.Body))
+      Hosts.at(From).RowBytesSent += countBytes(Rows->Rows);
     QueuedMessages.push({Now + 1ms, ++LastOrder, From, To, Message});
   }
 
@@ -209,6 +216,103 @@
   EXPECT_EQ(countHostsWithFullView(), 24U);
 }
 
+/// A fleet of 189 hosts in which one reads the store while a thousand servers
+/// register there, two hundred of them in each of its answers.
+class FleetGossipServersRegisterTest : public FleetGossipTest {
+protected:
+  static constexpr unsigned Servers = 1000;
+  static constexpr unsigned ServersPerAnswer = 200;
+  static constexpr std::size_t RowBytes = 260;
+
+  FleetGossipServersRegisterTest() {
+    startFleet(189);
+    advanceTime(6s);
+    for (auto &[Address, Node] : Hosts) {
+      if (Node.Gossip->rank() == 0)
+        Reader = Address;
+    }
+  }
+
+  /// Confirms both tables, as the reader does once a second.
+  void confirm() {
+    FleetGossip &Gossip = *Hosts.at(Reader).Gossip;
+    Gossip.onStoreRead(Now, StoreTable::Routes, false, 0);
+    Gossip.onStoreRead(Now, StoreTable::Servers, false, LastVersion);
+  }
+  void registerServers() {
+    for (unsigned Number = 0; Number < Servers; Number += ServersPerAnswer) {
+      const std::uint64_t Previous = LastVersion;
+      std::vector<TableRow> Rows;
+      for (unsigned Index = 0; Index < ServersPerAnswer; ++Index)
+        Rows.push_back({"i-" + std::to_string(Number + Index), ++LastVersion,
+                        false, std::string(RowBytes, 'x')});
+      Hosts.at(Reader).Servers.apply(Rows, LastVersion);
+      Hosts.at(Reader).Gossip->onStoreRead(Now, StoreTable::Servers, true,
+                                           Previous);
+      advanceTime(150ms);
+      confirm();
+    }
+  }
+  std::size_t countHostsUpToDate() const {
+    return static_cast<std::size_t>(
+        std::count_if(Hosts.begin(), Hosts.end(), [this](const auto &Entry) {
+          return Entry.second.Servers.latestRowVersion() == LastVersion;
+        }));
+  }
+
+  std::string Reader;
+  std::uint64_t LastVersion = 0;
+};
+
+// Guards against every host reading the store many times while the servers of a
+// large fleet register.
+TEST_F(FleetGossipServersRegisterTest,
+       onStoreRead_rowsReachAllWithinOneSecond) {
+  confirm();
+  advanceTime(100ms);
+  registerServers();
+  advanceTime(500ms);
+  EXPECT_EQ(countHostsUpToDate(), Hosts.size());
+}
+
+TEST_F(FleetGossipServersRegisterTest,
+       onStoreRead_noHostSendsMoreThanFewCopies) {
+  confirm();
+  registerServers();
+  advanceTime(500ms);
+  const std::size_t TableBytes = LastVersion * (RowBytes + sizeof("i-999") - 1);
+  // The reader also sends a copy to each other data centre.
+  const std::size_t MaxCopies = ForwardingFanOut + 2;
+  for (const auto &[Address, Node] : Hosts)
+    EXPECT_LE(Node.RowBytesSent, MaxCopies * TableBytes) << Address;
+}
+
+TEST_F(FleetGossipServersRegisterTest, onStoreRead_followersDoNotReadTheStore) {
+  confirm();
+  registerServers();
+  for (const auto &[Address, Node] : Hosts)
+    EXPECT_TRUE(Node.Mode != ReadMode::Active || Address == Reader) << Address;
+}
+
+// A host that ends while it forwards rows delays them by the time until the
+// others ask for them.
+TEST_F(FleetGossipServersRegisterTest,
+       onStoreRead_forwardingHostsDown_othersAskPeers) {
+  confirm();
+  unsigned Killed = 0;
+  for (auto &[Address, Node] : Hosts)
+    if (Address != Reader && ++Killed % 20 == 0)
+      Node.Down = true;
+  registerServers();
+  for (unsigned Round = 0; Round < 4; ++Round) {
+    advanceTime(500ms);
+    confirm();
+  }
+  for (const auto &[Address, Node] : Hosts)
+    EXPECT_TRUE(Node.Down || Node.Servers.latestRowVersion() == LastVersion)
+        << Address;
+}
+
 /// A fleet in which a request has crashed three servers.
 class FleetGossipCrashTest : public FleetGossipTest {
 protected:
--- a/tests/direct/small_parts_test.cpp
+++ b/tests/direct/small_parts_test.cpp
@@ -1,9 +1,12 @@
 #include "direct/baseline_latency.h"
+#include "direct/dissemination_plan.h"
 #include "direct/server_ranking.h"
 #include "direct/traffic_split.h"
 
 #include <gtest/gtest.h>
 
+#include <set>
+
 namespace mimosacart {
 namespace {
 
@@ -160,5 +163,29 @@
   EXPECT_EQ(Latencies.baseline("unknown", 1s), 350ms);
 }
 
+TEST(SplitForwardingTest, splitForwarding_manyHosts_eachIsReachedOnce) {
+  std::vector<std::string> Pending;
+  for (unsigned Number = 0; Number < 42; ++Number)
+    Pending.push_back(std::to_string(Number));
+  std::set<std::string> Reached;
+  unsigned Hops = 0;
+  std::vector<std::vector<std::string>> Groups = {Pending};
+  for (; !Groups.empty(); ++Hops) {
+    std::vector<std::vector<std::string>> Next;
+    for (const std::vector<std::string> &Group : Groups) {
+      const std::vector<ForwardingTarget> Targets = splitForwarding(Group);
+      EXPECT_LE(Targets.size(), ForwardingFanOut);
+      for (const ForwardingTarget &Target : Targets) {
+        EXPECT_TRUE(Reached.insert(Target.Address).second) << Target.Address;
+        if (!Target.ForwardTo.empty())
+          Next.push_back(Target.ForwardTo);
+      }
+    }
+    Groups = std::move(Next);
+  }
+  EXPECT_EQ(Reached.size(), Pending.size());
+  EXPECT_LE(Hops, 3U);
+}
+
 } // namespace
 } // namespace mimosacart
--- a/tests/direct/table_cache_test.cpp
+++ b/tests/direct/table_cache_test.cpp
@@ -98,5 +98,58 @@
   RC_ASSERT(SourceRows == CopyRows);
 }
 
+/// An update of \p Count rows of 10 bytes each after version 4.
+TableRows makeUpdate(unsigned Count) {
+  TableRows Update;
+  Update.After = 4;
+  Update.ConfirmedAgo = Duration(1);
+  for (unsigned Index = 0; Index < Count; ++Index)
+    Update.Rows.push_back(
+        {"k" + std::to_string(Index), 5 + (Count - Index), false, "12345678"});
+  Update.UpTo = 5 + Count;
+  return Update;
+}
+
+TEST(SplitUpdateTest, splitUpdate_smallUpdate_isLeftWhole) {
+  const std::vector<TableRows> Parts = splitUpdate(makeUpdate(5), 50);
+  ASSERT_EQ(Parts.size(), 1U);
+  EXPECT_EQ(Parts[0].Rows.size(), 5U);
+  EXPECT_TRUE(Parts[0].ConfirmedAgo);
+}
+
+TEST(SplitUpdateTest, splitUpdate_largeUpdate_partsFollowEachOther) {
+  const std::vector<TableRows> Parts = splitUpdate(makeUpdate(7), 30);
+  ASSERT_EQ(Parts.size(), 3U);
+  EXPECT_EQ(Parts.front().After, 4U);
+  EXPECT_EQ(Parts.back().UpTo, 12U);
+  for (std::size_t Index = 0; Index < Parts.size(); ++Index) {
+    EXPECT_LE(countBytes(Parts[Index].Rows), 30U);
+    const bool IsLast = Index + 1 == Parts.size();
+    EXPECT_EQ(Parts[Index].ConfirmedAgo.has_value(), IsLast);
+    if (!IsLast) {
+      EXPECT_EQ(Parts[Index].UpTo, Parts[Index + 1].After);
+    }
+  }
+}
+
+TEST(SplitUpdateTest, splitUpdate_rowsOfOneTransaction_versionEndsWithTheLast) {
+  TableRows Update = makeUpdate(4);
+  for (TableRow &Row : Update.Rows)
+    Row.Version = 9;
+  Update.UpTo = 9;
+  const std::vector<TableRows> Parts = splitUpdate(Update, 20);
+  ASSERT_EQ(Parts.size(), 2U);
+  EXPECT_EQ(Parts[0].UpTo, 8U);
+  EXPECT_EQ(Parts[1].UpTo, 9U);
+}
+
+TEST(SplitUpdateTest, splitUpdate_rowOverTheLimit_isSentAlone) {
+  TableRows Update = makeUpdate(3);
+  Update.Rows[1].Value = std::string(100, 'x');
+  const std::vector<TableRows> Parts = splitUpdate(Update, 30);
+  ASSERT_EQ(Parts.size(), 3U);
+  EXPECT_EQ(Parts[1].Rows.size(), 1U);
+}
+
 } // namespace
 } // namespace mimosacart
--- a/tests/wire/peer_codec_test.cpp
+++ b/tests/wire/peer_codec_test.cpp
@@ -79,7 +79,14 @@
       CrashReportAck{12},
       AttemptAnswerAck{IncarnationId(1), AttemptId(2)},
       TableRequest{StoreTable::Servers, 7},
-      TableRows{StoreTable::Servers, 5, 9, true, 3ms, {{"k", 8, true, "v"}}},
+      TableRows{StoreTable::Servers,
+                5,
+                9,
+                true,
+                3ms,
+                {{"k", 8, true, "v"}},
+                false,
+                {"10.0.0.1:7000", "10.0.0.2:7000"}},
       ViewSummary{{1, 2, 3}},
   };
 }
--- a/wire/table_codec.cpp
+++ b/wire/table_codec.cpp
@@ -24,6 +24,8 @@
   To.set_whole(From.Whole);
   To.set_after(From.After);
   To.set_pass_on(From.ForwardInDataCentre);
+  for (const std::string &Address : From.ForwardTo)
+    To.add_forward_to(Address);
   if (From.ConfirmedAgo)
     To.set_confirmed_ago_us(From.ConfirmedAgo->count());
   for (const TableRow &Row : From.Rows) {
@@ -52,6 +54,7 @@
   To.UpTo = From.up_to();
   To.Whole = From.whole();
   To.ForwardInDataCentre = From.pass_on();
+  To.ForwardTo.assign(From.forward_to().begin(), From.forward_to().end());
   if (From.has_confirmed_ago_us())
     To.ConfirmedAgo = Duration(From.confirmed_ago_us());
   for (const wire::TableRow &Row : From.rows())
