Let hosts take their first tables from peers of their data centre

What callers saw: nothing; each start of a host cost four calls to the store on the large fleet (a table of 1,079 rows has three pages), 378 calls when the fleet starts first, with an empty store.

Cause: every host read both tables whole as its first act, before it knew whether a peer has them.

Change: a starting host asks a host of its own data centre for both tables and reads from the store those that it lacks after 300 ms, or as soon as a peer says that it has none either (many hosts restart at once). At the first start of the fleet (setting direct.first_start) only the readers read. The view of the fleet is sent to a newcomer before the ack, so that it knows hosts near it when it learns of rows; a host introduces itself to the one that it asks.

Failed before: FleetGossipRestartTest.tick_hostsRestartInTurn_peersSendTheTables, FleetGossipTest.tick_firstStart_onlyTheReadersReadTheStore, TableFollowerTest.setReadMode_activeWithoutTable_readsItFirst and _tableFromPeers_ (by design: hosts read at once). Tests of readTable() are those of start(), unchanged but for the name.

--- a/core/membership.cpp
+++ b/core/membership.cpp
@@ -43,6 +43,10 @@
   Seeds = std::move(Addresses);
 }
 
+void Membership::introduceTo(const std::string &Address) {
+  Callbacks.Send(Address, makePing(++LastSequence));
+}
+
 void Membership::tick(Instant Now) {
   checkPendingPings(Now);
   checkSuspicions(Now);
@@ -98,11 +102,11 @@
   // in one period.
   if (Members.empty()) {
     for (const std::string &Address : Candidates)
-      Callbacks.Send(Address, makePing(++LastSequence));
+      introduceTo(Address);
     return;
   }
   NextSeed = (NextSeed + 1) % Candidates.size();
-  Callbacks.Send(Candidates[NextSeed], makePing(++LastSequence));
+  introduceTo(Candidates[NextSeed]);
 }
 
 Ping Membership::makePing(std::uint64_t Sequence) const {
--- a/core/membership.h
+++ b/core/membership.h
@@ -104,6 +104,8 @@
   /// Replaces the peer addresses that are pinged to find hosts that are not in
   /// the view.
   void setSeeds(std::vector<std::string> Addresses);
+  /// Sends the host at \p Address this host's record, which may be new to it.
+  void introduceTo(const std::string &Address);
 
   const MemberRecord &self() const { return Self; }
   /// The record of \p Host, this host included; null if not known.
--- a/daemon/direct_host_process.cpp
+++ b/daemon/direct_host_process.cpp
@@ -87,6 +87,7 @@
   Self.PeerAddress = Host.PeerAddress;
   Self.CallerAddress = Host.CallerAddress;
   Result.Fleet.Seeds = Host.SeedAddresses;
+  Result.Fleet.IsFirstStart = Host.Direct->IsFirstStart;
   Result.Fleet.Times = FleetMembershipTimes;
   Result.Fleet.RandomSeed = Incarnation.value();
   Result.Retries = {Host.Direct->RetryShare, Host.Direct->RetrySlack,
@@ -193,6 +194,12 @@
     RouteFollower.setReadMode(Mode);
     ServerFollower.setReadMode(Mode);
   };
+  Result.ReadTable = [this](StoreTable Table) {
+    if (Table == StoreTable::Routes)
+      RouteFollower.readTable();
+    else
+      ServerFollower.readTable();
+  };
   Result.Configured = [this](const RouteConfiguration &Configuration) {
     applyConfiguration(Configuration);
   };
@@ -255,8 +262,6 @@
                        {"peers", Settings.PeerAddress},
                        {"admin", Settings.AdminAddress},
                        {"life", std::to_string(Incarnation.value())}});
-  RouteFollower.start();
-  ServerFollower.start();
   scheduleDiscovery(FirstDiscoveryDelay, 1);
   finishEvent();
   return boost::outcome_v2::success();
--- a/daemon/table_follower.cpp
+++ b/daemon/table_follower.cpp
@@ -50,6 +50,11 @@
   ChangesCall.reset();
 }
 
+void TableFollower::readTable() {
+  if (!ReadingTable && !Stopped)
+    readFrom("");
+}
+
 void TableFollower::readFrom(const std::string &Key) {
   ++Calls;
   ReadingTable = true;
@@ -87,7 +92,7 @@
     runAfter(BatchPause, [this] { readFrom(""); });
     return;
   }
-  HasTable = true;
+  HasRead = true;
   Log.info("table_read", {{"table", Table},
                           {"rows", std::to_string(PageRows.size())},
                           {"version", std::to_string(FirstPageVersion)}});
@@ -108,8 +113,13 @@
   if (NewMode == Mode || Stopped)
     return;
   Mode = NewMode;
-  if (!HasTable || ReadingTable)
+  if (ReadingTable)
     return;
+  if (!hasTable()) {
+    if (Mode != ReadMode::None)
+      readTable();
+    return;
+  }
   DelayTimer->Value.cancel();
   if (ChangesCall)
     ChangesCall->cancel();
@@ -170,7 +180,7 @@
     Callbacks.StoreLost();
   }
   const Duration LongestPause =
-      HasTable ? Callbacks.LongestRetry() : LongestFirstReadPause;
+      hasTable() ? Callbacks.LongestRetry() : LongestFirstReadPause;
   Duration Pause = LongestPause / FirstRetryDivisor;
   for (unsigned Retry = 1; Retry < Failures && Pause < LongestPause; ++Retry)
     Pause *= 2;
@@ -178,12 +188,17 @@
   const double Extension =
       std::uniform_real_distribution<double>(0, RetryExtension)(Random);
   Pause += scaled(Pause, Extension);
-  runAfter(Pause, [this] {
-    if (HasTable)
-      awaitChanges(Duration::zero());
-    else
-      readFrom("");
-  });
+  runAfter(Pause, [this] { retry(); });
+}
+
+void TableFollower::retry() {
+  if (!hasTable())
+    readFrom("");
+  else if (Mode != ReadMode::None)
+    awaitChanges(Duration::zero());
+  else
+    // Peers have sent the table meanwhile.
+    recordRegained();
 }
 
 void TableFollower::runAfter(Duration Pause, std::function<void()> Task) {
--- a/daemon/table_follower.h
+++ b/daemon/table_follower.h
@@ -19,9 +19,9 @@
 
 namespace mimosacart {
 
-/// Reads a whole table at the start, then waits for changes if the read mode
-/// requires it. Reads the whole table again after the store has discarded
-/// changes that this host has not seen.
+/// Waits for changes of a table if the read mode requires it. Reads the whole
+/// table first unless peers have sent it, and again after the store has
+/// discarded changes that this host has not seen.
 class TableFollower {
 public:
   struct Hooks {
@@ -51,7 +51,8 @@
   TableFollower(const TableFollower &) = delete;
   TableFollower &operator=(const TableFollower &) = delete;
 
-  void start() { readFrom(""); }
+  /// Reads the whole table in any read mode, as peers cannot send it.
+  void readTable();
   /// Sets how to follow changes from now on.
   void setReadMode(ReadMode NewMode);
   /// Cancels the wait for changes and ignores results of open calls.
@@ -71,6 +72,9 @@
   void awaitChanges(Duration Wait);
   /// Waits for further changes if the read mode requires it.
   void continueFollowing();
+  /// Whether the whole table has been read, or peers have sent it.
+  bool hasTable() const { return HasRead || Callbacks.KnownVersion() > 0; }
+  void retry();
   /// Ends the series of failures, if there is one.
   void recordRegained();
   void onChanges(StoreResult<StoreRows> Result);
@@ -89,7 +93,7 @@
   std::vector<TableRow> PageRows;
   std::uint64_t FirstPageVersion = 0;
   /// Whether the whole table has been read at least once.
-  bool HasTable = false;
+  bool HasRead = false;
   /// Whether a page of the table is being read.
   bool ReadingTable = false;
   /// Whether no request for changes has succeeded since the mode became Active.
--- a/direct/direct_node.h
+++ b/direct/direct_node.h
@@ -56,6 +56,8 @@
         ReadServer;
     /// Sets how this host reads the store from now on.
     std::function<void(ReadMode)> SetReadMode;
+    /// Reads a whole table from the store once.
+    std::function<void(StoreTable)> ReadTable;
     /// Called when a configuration has come into force.
     std::function<void(const RouteConfiguration &)> Configured;
     FlowLogHook Log;
--- a/direct/fleet_gossip.cpp
+++ b/direct/fleet_gossip.cpp
@@ -36,7 +36,8 @@
     : Settings(std::move(InitialSettings)), Callbacks(std::move(Callbacks)),
       LastEvent(Settings.RandomSeed), Random(Settings.RandomSeed),
       Notices(CrashNoticeLifetimes), Records(this->Callbacks.Records),
-      Sync(Settings.Self.Host, Settings.Sync, Tables, syncHooks()),
+      Sync(Settings.Self.Host, Settings.Sync, Settings.IsFirstStart, Tables,
+           syncHooks()),
       Members(Settings.Self, Settings.Seeds, Settings.Times,
               Settings.RandomSeed, membershipHooks()) {
   refreshMembers();
@@ -45,12 +46,17 @@
 TableSync::Hooks FleetGossip::syncHooks() {
   TableSync::Hooks Result;
   Result.Send = [this](const HostName &Host, PeerBody Body) {
+    // A host answers only those that it knows.
+    const MemberRecord *Target = Members.find(Host);
+    if (Target != nullptr && Sync.lacksRows())
+      Members.introduceTo(Target->PeerAddress);
     sendTo(Host, std::move(Body));
   };
   Result.Broadcast = [this](const TableRows &Updates) {
     broadcastRows(Updates);
   };
   Result.SetReadMode = Callbacks.SetReadMode;
+  Result.ReadTable = Callbacks.ReadTable;
   Result.Log = Callbacks.Log;
   return Result;
 }
@@ -267,10 +273,11 @@
 }
 
 void FleetGossip::handle(const HostName &From, const Ping &Message) {
-  const bool IsUnknown = Members.find(Message.Self.Host) == nullptr;
-  Members.onPing(Now, From, Message);
-  if (IsUnknown)
+  // Sent before the ack, so that a newcomer knows hosts of its data centre when
+  // it learns of rows that it lacks.
+  if (Members.find(Message.Self.Host) == nullptr)
     sendInitialView(Message.Self);
+  Members.onPing(Now, From, Message);
   compareViews(Message.Self.Host, Message.StateDigest, Message.Tables);
 }
 
@@ -319,6 +326,9 @@
 
 void FleetGossip::compareViews(const HostName &From, std::uint64_t Digest,
                                const TableVersions &Versions) {
+  // A newcomer requests its first rows from a host that it has just learned of.
+  if (Sync.lacksRows() && Versions != TableVersions())
+    refreshMembers();
   Sync.onPeerVersions(Now, From, Versions);
   if (Digest == digest())
     return;
--- a/direct/fleet_gossip.h
+++ b/direct/fleet_gossip.h
@@ -29,6 +29,8 @@
   MembershipTimes Times;
   std::uint64_t RandomSeed = 1;
   TableSyncTimes Sync;
+  /// The whole fleet starts for the first time, with an empty store.
+  bool IsFirstStart = false;
 };
 
 /// Exchanges state with the other entry hosts.
@@ -38,6 +40,8 @@
     std::function<void(const std::string &Address, const PeerMessage &)> Send;
     /// Sets how this host reads the store from now on.
     std::function<void(ReadMode)> SetReadMode;
+    /// Reads a whole table from the store once.
+    std::function<void(StoreTable)> ReadTable;
     FlowLogHook Log;
     CrashRecords::Hooks Records;
   };
--- a/direct/table_sync.cpp
+++ b/direct/table_sync.cpp
@@ -48,10 +48,11 @@
   return "none";
 }
 
-TableSync::TableSync(HostName Self, TableSyncTimes Times,
+TableSync::TableSync(HostName Self, TableSyncTimes Times, bool IsFirstStart,
                      const std::map<StoreTable, TableCache *> &Caches,
                      Hooks Callbacks)
-    : Self(std::move(Self)), Times(Times), Callbacks(std::move(Callbacks)) {
+    : Self(std::move(Self)), Times(Times), IsFirstStart(IsFirstStart),
+      Callbacks(std::move(Callbacks)) {
   for (const auto &[Table, Cache] : Caches)
     Tables[Table].Cache = Cache;
 }
@@ -59,12 +60,19 @@
 void TableSync::setMembers(const std::vector<MemberRecord> &Members) {
   const std::vector<MemberRecord> Ordered = orderByRank(Members);
   Peers.clear();
-  Rank = Ordered.size();
-  for (std::size_t Position = 0; Position < Ordered.size(); ++Position) {
-    if (Ordered[Position].Host == Self)
-      Rank = Position;
-    else
-      Peers.push_back(Ordered[Position].Host);
+  LocalPeers.clear();
+  const auto Own = std::find_if(
+      Ordered.begin(), Ordered.end(),
+      [this](const MemberRecord &Member) { return Member.Host == Self; });
+  Rank = static_cast<std::size_t>(Own - Ordered.begin());
+  for (const MemberRecord &Member : Ordered) {
+    if (Member.Host == Self)
+      continue;
+    Peers.push_back(Member.Host);
+    // A member at this host's address is an earlier incarnation of it.
+    if (Own != Ordered.end() && Member.DataCentre == Own->DataCentre &&
+        Member.PeerAddress != Own->PeerAddress)
+      LocalPeers.push_back(Member.Host);
   }
 }
 
@@ -116,15 +124,40 @@
       State.BackupSendAt.reset();
       broadcastUpdate(Now, Table, State, State.BackupSendAfter);
     }
-    if (!State.NewerPeer || Now < State.RequestAt)
-      continue;
-    State.RequestAt = Now + requestAfter() * 2;
-    Callbacks.Send(*State.NewerPeer,
-                   TableRequest{Table, State.Cache->latestRowVersion()});
+    if (State.NewerPeer && Now >= State.RequestAt)
+      requestRows(Now, Table, State);
   }
+  readAtStart(Now);
   updateReadMode(Now);
 }
 
+/// A whole table is requested from a host of this data centre first, although
+/// only another may be known to have it: many rows cost much between data
+/// centres.
+void TableSync::requestRows(Instant Now, StoreTable Table, TableState &State) {
+  State.RequestAt = Now + requestAfter() * 2;
+  const std::uint64_t Latest = State.Cache->latestRowVersion();
+  HostName Target = *State.NewerPeer;
+  const bool AskLocalPeer =
+      Latest == 0 && !State.LocalPeerAsked && !LocalPeers.empty();
+  if (AskLocalPeer) {
+    State.LocalPeerAsked = true;
+    Target = LocalPeers[stableHash(Self.value()) % LocalPeers.size()];
+  }
+  Callbacks.Send(Target, TableRequest{Table, Latest});
+}
+
+void TableSync::readAtStart(Instant Now) {
+  if (IsFirstStart || ReadAtStartDone)
+    return;
+  if (!PeerLacksTables && Now - *StartedAt < Times.PeerTableTime)
+    return;
+  ReadAtStartDone = true;
+  for (const auto &[Table, State] : Tables)
+    if (State.Cache->version() == 0)
+      Callbacks.ReadTable(Table);
+}
+
 bool TableSync::isLargeFleet() const {
   return Peers.size() > DisseminationPlan::MaxDirectPeers;
 }
@@ -252,6 +285,7 @@
 
 void TableSync::onPeerVersions(Instant Now, const HostName &From,
                                const TableVersions &Versions) {
+  PeerLacksTables |= Versions == TableVersions();
   for (auto &[Table, State] : Tables)
     recordNewerVersion(Now, State, From, Versions.of(Table));
   tick(Now);
@@ -272,6 +306,13 @@
   const bool SentByPrimary = FromPrimary || !Message.Rows.empty();
   if (SentByPrimary && Message.UpTo >= State.Cache->latestRowVersion())
     State.BackupSendAt.reset();
+  // The host of this data centre that was asked for the whole table lacks it.
+  const bool PeerLacksTable = Message.UpTo == 0 && !Message.ConfirmedAgo &&
+                              State.NewerPeer && From != *State.NewerPeer;
+  if (PeerLacksTable && State.Cache->latestRowVersion() == 0) {
+    requestRows(Now, Message.Table, State);
+    return;
+  }
   // Rows that start after a version that this host lacks would leave a gap.
   const bool IsContiguous =
       Message.Whole || Message.After <= knownVersion(*State.Cache);
--- a/direct/table_sync.h
+++ b/direct/table_sync.h
@@ -54,6 +54,9 @@
   std::size_t ShortRetryHosts = 8;
   /// Time after the start in which a host discovers its peers.
   Duration DiscoveryTime = std::chrono::milliseconds(1200);
+  /// Time after the start in which a host waits for the tables of a peer before
+  /// it reads them from the store.
+  Duration PeerTableTime = std::chrono::milliseconds(300);
 };
 
 /// How a host reads the store.
@@ -87,10 +90,14 @@
     std::function<void(const TableRows &)> Broadcast;
     /// Sets how this host reads the store from now on.
     std::function<void(ReadMode)> SetReadMode;
+    /// Reads a whole table from the store once.
+    std::function<void(StoreTable)> ReadTable;
     FlowLogHook Log;
   };
 
-  TableSync(HostName Self, TableSyncTimes Times,
+  /// If \p IsFirstStart, the whole fleet starts with an empty store, so that
+  /// only the readers need to read it.
+  TableSync(HostName Self, TableSyncTimes Times, bool IsFirstStart,
             const std::map<StoreTable, TableCache *> &Tables, Hooks Callbacks);
 
   /// Sets the hosts of the fleet, this one included.
@@ -112,6 +119,8 @@
   void tick(Instant Now);
 
   ReadMode mode() const { return Mode; }
+  /// Whether this host has no rows of any table.
+  bool lacksRows() const { return versions() == TableVersions(); }
   /// Position of this host in the order of all hosts. Rank 0 is the primary
   /// reader, rank 1 the backup reader.
   std::size_t rank() const { return Rank; }
@@ -134,6 +143,8 @@
     Instant NewerVersionAt{};
     /// When to request the rows from NewerPeer.
     Instant RequestAt{};
+    /// A whole table has been requested from a host of this data centre.
+    bool LocalPeerAsked = false;
     /// The version that this host waits for, and since when. NewerVersion
     /// replaces it only after it has arrived.
     std::uint64_t PendingVersion = 0;
@@ -144,6 +155,11 @@
     std::uint64_t BackupSendAfter = 0;
   };
 
+  /// Reads the tables from the store that this host lacks shortly after its
+  /// start and cannot get from a peer.
+  void readAtStart(Instant Now);
+  /// Requests the rows that this host lacks from a peer.
+  void requestRows(Instant Now, StoreTable Table, TableState &State);
   void recordNewerVersion(Instant Now, TableState &State, const HostName &From,
                           std::uint64_t Version);
   /// The rows that changed after version \p After, with the age of the last
@@ -172,16 +188,22 @@
 
   const HostName Self;
   const TableSyncTimes Times;
+  const bool IsFirstStart;
   const Hooks Callbacks;
   std::map<StoreTable, TableState> Tables;
   /// All other hosts, ordered by rank.
   std::vector<HostName> Peers;
+  /// Those of this host's data centre.
+  std::vector<HostName> LocalPeers;
   std::size_t Rank = 0;
   ReadMode Mode = ReadMode::None;
   /// This host does not leave the active mode before this time.
   Instant ReadUntil{};
   /// Time of the first tick().
   std::optional<Instant> StartedAt;
+  /// A peer has no tables either: many hosts have just started.
+  bool PeerLacksTables = false;
+  bool ReadAtStartDone = false;
 };
 
 } // namespace mimosacart
--- a/settings/host_settings.cpp
+++ b/settings/host_settings.cpp
@@ -78,6 +78,7 @@
   Result.RetrySlack = Reader.readNumberOr("retry_slack", Result.RetrySlack);
   Result.RetryWindow =
       Reader.readDurationOr("retry_window", Result.RetryWindow);
+  Result.IsFirstStart = Reader.readBooleanOr("first_start", false);
   Result.StopGrace = Reader.readDurationOr("stop_grace", Result.StopGrace);
   Reader.reportUnknownKeys();
   return Result;
--- a/settings/host_settings.h
+++ b/settings/host_settings.h
@@ -43,6 +43,8 @@
   double RetryShare = 0.2;
   double RetrySlack = 50;
   Duration RetryWindow = std::chrono::seconds(10);
+  /// Whether the whole fleet starts for the first time, with an empty store.
+  bool IsFirstStart = false;
   /// Grace period of a planned stop; the process is killed at its end.
   Duration StopGrace = std::chrono::seconds(6);
 };
--- a/tests/daemon/table_follower_test.cpp
+++ b/tests/daemon/table_follower_test.cpp
@@ -74,15 +74,15 @@
   unsigned Recoveries = 0;
 };
 
-TEST_F(TableFollowerTest, start_notFollowing_readsOnlyOnce) {
-  Follower->start();
+TEST_F(TableFollowerTest, readTable_notFollowing_readsOnlyOnce) {
+  Follower->readTable();
   run(300ms);
   EXPECT_EQ(Rows, (Table{{"a", "1"}}));
   EXPECT_EQ(Store.calls(), 1U);
 }
 
 TEST_F(TableFollowerTest, setReadMode_active_receivesChangesAndRemovals) {
-  Follower->start();
+  Follower->readTable();
   run(100ms);
   Follower->setReadMode(ReadMode::Active);
   run(100ms);
@@ -94,7 +94,7 @@
 }
 
 TEST_F(TableFollowerTest, setReadMode_historyGone_readsWholeTableAgain) {
-  Follower->start();
+  Follower->readTable();
   run(100ms);
   Store.put("t", "b", "2");
   Store.put("t", "c", "3");
@@ -106,7 +106,7 @@
 }
 
 TEST_F(TableFollowerTest, setReadMode_storeRefuses_reportsLossAndReturnOnce) {
-  Follower->start();
+  Follower->readTable();
   run(100ms);
   Store.setMood(StoreMood::Refusing);
   Follower->setReadMode(ReadMode::Active);
@@ -121,7 +121,7 @@
 }
 
 TEST_F(TableFollowerTest, setReadMode_storeSilent_reportsLossWithin3s) {
-  Follower->start();
+  Follower->readTable();
   run(100ms);
   Follower->setReadMode(ReadMode::Active);
   run(50ms);
@@ -130,9 +130,9 @@
   EXPECT_EQ(Losses, 1U);
 }
 
-TEST_F(TableFollowerTest, start_storeRefuses_readsAfterItRecovers) {
+TEST_F(TableFollowerTest, readTable_storeRefuses_readsAfterItRecovers) {
   Store.setMood(StoreMood::Refusing);
-  Follower->start();
+  Follower->readTable();
   run(500ms);
   EXPECT_TRUE(Rows.empty());
   Store.setMood(StoreMood::Sound);
@@ -141,7 +141,7 @@
 }
 
 TEST_F(TableFollowerTest, setReadMode_none_sendsNoMoreCalls) {
-  Follower->start();
+  Follower->readTable();
   run(100ms);
   Follower->setReadMode(ReadMode::Active);
   run(100ms);
@@ -155,7 +155,7 @@
 
 // The call that is on its way to the store when reading ends is the last one.
 TEST_F(TableFollowerTest, setReadMode_noneWhileCallIsOnItsWay_sendsNoMore) {
-  Follower->start();
+  Follower->readTable();
   Follower->setReadMode(ReadMode::Active);
   constexpr std::size_t FirstLongPoll = 2;
   Context.restart();
@@ -169,7 +169,7 @@
 }
 
 TEST_F(TableFollowerTest, setReadMode_noneAfterFirstAnswer_callsOnce) {
-  Follower->start();
+  Follower->readTable();
   run(100ms);
   const std::size_t CallsBefore = Store.calls();
   Follower->setReadMode(ReadMode::Active);
@@ -181,7 +181,7 @@
 
 TEST_F(TableFollowerTest, setReadMode_storeRefuses_obeysLongestRetry) {
   LongestRetry = 2s;
-  Follower->start();
+  Follower->readTable();
   run(100ms);
   Store.setMood(StoreMood::Refusing);
   Follower->setReadMode(ReadMode::Active);
@@ -192,17 +192,45 @@
   EXPECT_GE(Store.calls(), CallsBefore + 2);
 }
 
-TEST_F(TableFollowerTest, start_severalPages_readsAllPages) {
+TEST_F(TableFollowerTest, readTable_severalPages_readsAllPages) {
   Table Expected = {{"a", "1"}};
   for (const char *Key : {"b", "c&d=e", "f%20g", "h i"}) {
     Store.put("t", Key, "2");
     Expected[Key] = "2";
   }
   Store.setPageRows(1);
-  Follower->start();
+  Follower->readTable();
   run(500ms);
   EXPECT_EQ(Rows, Expected);
 }
 
+TEST_F(TableFollowerTest, setReadMode_activeWithoutTable_readsItFirst) {
+  Follower->setReadMode(ReadMode::Active);
+  run(300ms);
+  EXPECT_EQ(Rows, (Table{{"a", "1"}}));
+  EXPECT_EQ(TableReads, 1U);
+}
+
+TEST_F(TableFollowerTest, setReadMode_tableFromPeers_readsOnlyChanges) {
+  KnownVersion = 1;
+  Store.put("t", "b", "2");
+  Follower->setReadMode(ReadMode::Active);
+  run(300ms);
+  EXPECT_EQ(Rows, (Table{{"b", "2"}}));
+  EXPECT_EQ(TableReads, 0U);
+}
+
+TEST_F(TableFollowerTest, readTable_peersSendItAfterAFailure_callsNoMore) {
+  Store.setMood(StoreMood::Refusing);
+  Follower->readTable();
+  run(50ms);
+  KnownVersion = 1;
+  run(300ms);
+  const std::size_t CallsBefore = Store.calls();
+  run(1s);
+  EXPECT_EQ(Store.calls(), CallsBefore);
+  EXPECT_EQ(Recoveries, 1U);
+}
+
 } // namespace
 } // namespace mimosacart
--- a/tests/direct/fleet_gossip_test.cpp
+++ b/tests/direct/fleet_gossip_test.cpp
@@ -66,6 +66,7 @@
     Settings.Times.SuspectAfter = 700ms;
     Settings.Times.DeadAfter = 800ms;
     Settings.RandomSeed = Number + 1;
+    Settings.IsFirstStart = IsFirstStart;
     FleetGossip::Hooks Callbacks;
     Callbacks.Send = [this, Address](const std::string &To,
                                      const PeerMessage &Message) {
@@ -74,6 +75,9 @@
     Callbacks.SetReadMode = [this, Address](ReadMode Mode) {
       Hosts.at(Address).Mode = Mode;
     };
+    Callbacks.ReadTable = [this, Address](StoreTable Table) {
+      readTable(Hosts.at(Address), Table);
+    };
     Callbacks.Log = [](const char *, const FlowFields &) {};
     Callbacks.Records = recordHooks(Address);
     NewHost.Gossip = std::make_unique<FleetGossip>(
@@ -108,6 +112,22 @@
     return Result;
   }
 
+  void countRows(const std::string &From, const std::string &To,
+                 const TableRows &Message) {
+    const std::size_t Bytes = countBytes(Message.Rows);
+    Hosts.at(From).RowBytesSent += Bytes;
+    if (Hosts.at(From).DataCentre != Hosts.at(To).DataCentre)
+      RowBytesAcrossDataCentres += Bytes;
+  }
+
+  void readTable(Host &Reader, StoreTable Table) {
+    ++TablesRead;
+    TableCache &Cache =
+        Table == StoreTable::Routes ? Reader.Routes : Reader.Servers;
+    Cache.replace(StoredRows, StoredVersion);
+    Reader.Gossip->onStoreRead(Now, Table, false, StoredVersion);
+  }
+
   void enqueue(const std::string &From, const std::string &To,
                const PeerMessage &Message) {
     if (Hosts.at(From).Down)
@@ -119,7 +139,7 @@
         MembersAcrossDataCentres += Updates->Members.size();
     }
     if (const auto *Rows = std::get_if<TableRows>(&Message.Body))
-      Hosts.at(From).RowBytesSent += countBytes(Rows->Rows);
+      countRows(From, To, *Rows);
     QueuedMessages.push({Now + 1ms, ++LastOrder, From, To, Message});
   }
 
@@ -159,8 +179,16 @@
   std::uint64_t MembersAcrossDataCentres = 0;
   /// Crashes recorded in the store, by the fingerprint of the request.
   std::map<std::uint64_t, std::vector<CrashNotice>> StoredCrashes;
+  bool IsFirstStart = false;
   bool StoreAnswers = true;
   unsigned RecordReads = 0;
+  /// Rows of both tables of the store.
+  std::vector<TableRow> StoredRows;
+  std::uint64_t StoredVersion = 0;
+  /// Whole tables that hosts read from the store.
+  unsigned TablesRead = 0;
+  /// Bytes of rows sent from one data centre to another.
+  std::uint64_t RowBytesAcrossDataCentres = 0;
 };
 
 TEST_F(FleetGossipTest, tick_allStartAtOnce_allViewsAreFullWithin3s) {
@@ -216,6 +244,65 @@
   EXPECT_EQ(countHostsWithFullView(), 24U);
 }
 
+/// A fleet of 60 hosts whose hosts have the tables of a store.
+class FleetGossipRestartTest : public FleetGossipTest {
+protected:
+  FleetGossipRestartTest() {
+    StoredVersion = 9;
+    StoredRows = {{"row", StoredVersion, false, std::string(10'000, 'x')}};
+    startFleet(60);
+    advanceTime(5s);
+    TablesRead = 0;
+    RowBytesAcrossDataCentres = 0;
+  }
+  bool hasTables(unsigned Number) {
+    const Host &Node = Hosts.at(addressOf(Number));
+    return Node.Routes.version() == StoredVersion &&
+           Node.Servers.version() == StoredVersion;
+  }
+};
+
+// Guards against calls to the store by each host of a rolling restart.
+TEST_F(FleetGossipRestartTest, tick_hostsRestartInTurn_peersSendTheTables) {
+  for (unsigned Number = 3; Number < 33; ++Number) {
+    startHost(Number, "~2");
+    advanceTime(250ms);
+    EXPECT_TRUE(hasTables(Number)) << Number;
+  }
+  EXPECT_EQ(TablesRead, 0U);
+  EXPECT_EQ(RowBytesAcrossDataCentres, 0U);
+}
+
+TEST_F(FleetGossipRestartTest, tick_seedsDown_hostReadsTheStoreSoon) {
+  for (unsigned Number = 0; Number < 3; ++Number)
+    Hosts.at(addressOf(Number)).Down = true;
+  startHost(20, "~2");
+  advanceTime(500ms);
+  EXPECT_TRUE(hasTables(20));
+  EXPECT_EQ(TablesRead, 2U);
+}
+
+TEST_F(FleetGossipRestartTest, tick_allHostsRestart_allHaveTablesAtOnce) {
+  for (unsigned Number = 0; Number < 60; ++Number)
+    startHost(Number, "~2");
+  advanceTime(400ms);
+  for (unsigned Number = 0; Number < 60; ++Number)
+    EXPECT_TRUE(hasTables(Number)) << Number;
+}
+
+// Guards against reads of an empty store by each host of a new fleet.
+TEST_F(FleetGossipTest, tick_firstStart_onlyTheReadersReadTheStore) {
+  IsFirstStart = true;
+  startFleet(60);
+  advanceTime(2s);
+  EXPECT_EQ(TablesRead, 0U);
+  const auto Readers =
+      std::count_if(Hosts.begin(), Hosts.end(), [](const auto &Entry) {
+        return Entry.second.Mode != ReadMode::None;
+      });
+  EXPECT_LE(Readers, 2);
+}
+
 /// A fleet of 189 hosts in which one reads the store while a thousand servers
 /// register there, two hundred of them in each of its answers.
 class FleetGossipServersRegisterTest : public FleetGossipTest {
--- a/tests/direct/table_sync_test.cpp
+++ b/tests/direct/table_sync_test.cpp
@@ -31,6 +31,7 @@
     for (unsigned Number = 0; Number < 5; ++Number) {
       MemberRecord Member;
       Member.Host = HostName("host-" + std::to_string(Number));
+      Member.PeerAddress = "peer-" + std::to_string(Number);
       Member.DataCentre = Number % 2 == 0 ? "even" : "odd";
       Members.push_back(Member);
     }
@@ -52,9 +53,14 @@
         NewHost.ReadsNow = Mode == ReadMode::Active;
         NewHost.Mode = Mode;
       };
+      Callbacks.ReadTable = [this, &NewHost](StoreTable Table) {
+        ++TablesRead;
+        if (Table == StoreTable::Routes && StoreAnswers)
+          NewHost.Routes.replace({Stored}, Stored.Version);
+      };
       Callbacks.Log = [](const char *, const FlowFields &) {};
       NewHost.Sync = std::make_unique<TableSync>(
-          Member.Host, TableSyncTimes{},
+          Member.Host, TableSyncTimes{}, IsFirstStart,
           std::map<StoreTable, TableCache *>{
               {StoreTable::Routes, &NewHost.Routes},
               {StoreTable::Servers, &NewHost.Servers}},
@@ -123,7 +129,10 @@
 
   Instant Now{1h};
   TableRow Stored{"config", 1, false, "one"};
+  bool IsFirstStart = false;
   bool StoreAnswers = true;
+  /// Tables that hosts read at their start.
+  unsigned TablesRead = 0;
   /// Transit time of messages as their receivers measure it.
   Duration Delay{};
   std::function<void(const TableRows &)> OnRows = [](const TableRows &) {};
--- a/tests/settings/settings_test.cpp
+++ b/tests/settings/settings_test.cpp
@@ -152,6 +152,7 @@
 retry_slack = 56
 retry_window = "10s"
 stop_grace = "2500ms"
+first_start = true
 )",
                                         "f");
   ASSERT_TRUE(Parsed.has_value());
@@ -159,6 +160,7 @@
   EXPECT_EQ(Parsed.value().Direct->RetryShare, 0.3);
   EXPECT_EQ(Parsed.value().Direct->RetrySlack, 56);
   EXPECT_EQ(Parsed.value().Direct->StopGrace, std::chrono::milliseconds(2500));
+  EXPECT_TRUE(Parsed.value().Direct->IsFirstStart);
 }
 
 TEST(HostSettingsTest, parse_directTableWithErrors_reportsEach) {
