Send the rows of a table that a reader reads whole

Change: after a whole read, the reader sends what is new to it, as after any other read. FleetGossipRestartTest plays such a read.

--- a/direct/direct_node.cpp
+++ b/direct/direct_node.cpp
@@ -163,9 +163,11 @@
                               const std::vector<TableRow> &Rows,
                               std::uint64_t Version) {
   Now = At;
+  const std::uint64_t PreviousVersion = cache(Table).latestRowVersion();
   if (!cache(Table).replace(Rows, Version))
     return false;
-  Fleet.onStoreRead(Now, Table, false, cache(Table).latestRowVersion());
+  const bool HasChanges = cache(Table).latestRowVersion() > PreviousVersion;
+  Fleet.onStoreRead(Now, Table, HasChanges, PreviousVersion);
   return true;
 }
 
--- a/tests/direct/fleet_gossip_test.cpp
+++ b/tests/direct/fleet_gossip_test.cpp
@@ -124,8 +124,9 @@
     ++TablesRead;
     TableCache &Cache =
         Table == StoreTable::Routes ? Reader.Routes : Reader.Servers;
+    const std::uint64_t Previous = Cache.latestRowVersion();
     Cache.replace(StoredRows, StoredVersion);
-    Reader.Gossip->onStoreRead(Now, Table, false, StoredVersion);
+    Reader.Gossip->onStoreRead(Now, Table, true, Previous);
   }
 
   void enqueue(const std::string &From, const std::string &To,
