Read only the table that is behind, and let few hosts take over from readers

What callers saw: nothing; calls to the store are the largest price on the large fleet.

By reading: if both readers are turned away by the store, all hosts begin to read within 200 ms, each for 2 s at least, and while the store is away the calls of all hosts grow with their number.

Change: each table has its own read mode. The time after which a host takes over grows by 5 ms for each host of the fleet, so that the first ones vouch for the tables before the others read. The long pause between retries grows with the fleet. The backup reader waits longer where rows are forwarded.

Failed before: FleetGossipStoreTurnsHostsAwayTest.tick_readersTurnedAway_fewTakeOver (124 of 189 hosts read, at most 47 wanted), TableSyncTest.tick_oneTableBehind_ otherTableIsNotRead.

--- a/daemon/direct_host_process.cpp
+++ b/daemon/direct_host_process.cpp
@@ -190,16 +190,10 @@
   };
   Result.ReadConfiguration = readConfiguration;
   Result.ReadServer = readServer;
-  Result.SetReadMode = [this](ReadMode Mode) {
-    RouteFollower.setReadMode(Mode);
-    ServerFollower.setReadMode(Mode);
-  };
-  Result.ReadTable = [this](StoreTable Table) {
-    if (Table == StoreTable::Routes)
-      RouteFollower.readTable();
-    else
-      ServerFollower.readTable();
+  Result.SetReadMode = [this](StoreTable Table, ReadMode Mode) {
+    follower(Table).setReadMode(Mode);
   };
+  Result.ReadTable = [this](StoreTable Table) { follower(Table).readTable(); };
   Result.Configured = [this](const RouteConfiguration &Configuration) {
     applyConfiguration(Configuration);
   };
--- a/daemon/direct_host_process.h
+++ b/daemon/direct_host_process.h
@@ -48,6 +48,9 @@
   DirectNode::Hooks makeCoreHooks();
   CrashRecordStore::Hooks makeCrashRecordHooks();
   TableFollower::Hooks makeFollowerHooks(StoreTable Table);
+  TableFollower &follower(StoreTable Table) {
+    return Table == StoreTable::Routes ? RouteFollower : ServerFollower;
+  }
   void onCallerRequest(HttpRequest Request,
                        std::shared_ptr<HttpExchange> Exchange);
   void onDirectoryRequest(const HttpRequest &Request, HttpExchange &Exchange);
--- a/direct/direct_node.h
+++ b/direct/direct_node.h
@@ -54,8 +54,8 @@
     /// Parses a row of the servers table.
     std::function<std::variant<DiscoveredServer, UnusableRow>(const TableRow &)>
         ReadServer;
-    /// Sets how this host reads the store from now on.
-    std::function<void(ReadMode)> SetReadMode;
+    /// Sets how this host reads a table of the store from now on.
+    std::function<void(StoreTable, ReadMode)> SetReadMode;
     /// Reads a whole table from the store once.
     std::function<void(StoreTable)> ReadTable;
     /// Called when a configuration has come into force.
--- a/direct/fleet_gossip.h
+++ b/direct/fleet_gossip.h
@@ -38,8 +38,8 @@
 public:
   struct Hooks {
     std::function<void(const std::string &Address, const PeerMessage &)> Send;
-    /// Sets how this host reads the store from now on.
-    std::function<void(ReadMode)> SetReadMode;
+    /// Sets how this host reads a table of the store from now on.
+    std::function<void(StoreTable, ReadMode)> SetReadMode;
     /// Reads a whole table from the store once.
     std::function<void(StoreTable)> ReadTable;
     FlowLogHook Log;
--- a/direct/table_sync.cpp
+++ b/direct/table_sync.cpp
@@ -77,8 +77,11 @@
 }
 
 Duration TableSync::longestRetry() const {
-  return Rank < Times.ShortRetryHosts ? Times.ShortRetryPause
-                                      : Times.LongRetryPause;
+  if (Rank < Times.ShortRetryHosts)
+    return Times.ShortRetryPause;
+  return std::max(Times.LongRetryPause,
+                  Times.LongRetryPausePerHost *
+                      static_cast<Duration::rep>(Peers.size()));
 }
 
 TableVersions TableSync::versions() const {
@@ -86,19 +89,13 @@
           Tables.at(StoreTable::Servers).Cache->latestRowVersion()};
 }
 
-bool TableSync::confirmedSince(Instant Since) const {
-  return std::all_of(Tables.begin(), Tables.end(), [Since](const auto &Entry) {
-    return Entry.second.ConfirmedAt && *Entry.second.ConfirmedAt >= Since;
-  });
+bool TableSync::confirmedSince(const TableState &State, Instant Since) {
+  return State.ConfirmedAt && *State.ConfirmedAt >= Since;
 }
 
-bool TableSync::isUpdateOverdue(Instant Now) const {
-  const Instant Since = Now - updateTimeout();
-  return std::any_of(Tables.begin(), Tables.end(), [Since](const auto &Entry) {
-    const TableState &State = Entry.second;
-    return State.NewerPeer && State.PendingSince <= Since &&
-           knownVersion(*State.Cache) < State.PendingVersion;
-  });
+bool TableSync::isUpdateOverdue(Instant Now, const TableState &State) const {
+  return State.NewerPeer && State.PendingSince <= Now - updateTimeout() &&
+         knownVersion(*State.Cache) < State.PendingVersion;
 }
 
 void TableSync::updatePendingVersion(TableState &State) const {
@@ -128,7 +125,7 @@
       requestRows(Now, Table, State);
   }
   readAtStart(Now);
-  updateReadMode(Now);
+  updateReadModes(Now);
 }
 
 /// A whole table is requested from a host of this data centre first, although
@@ -173,54 +170,66 @@
 Duration TableSync::confirmationTimeout() const {
   if (Rank < ReaderCount)
     return Times.BackupConfirmationTimeout;
-  const std::size_t SpreadRank = std::min<std::size_t>(Rank, Peers.size());
-  return Times.ConfirmationTimeout +
-         Times.ConfirmationTimeoutSpread *
-             static_cast<Duration::rep>(SpreadRank) /
-             static_cast<Duration::rep>(std::max<std::size_t>(1, Peers.size()));
+  const auto SpreadRank =
+      static_cast<Duration::rep>(std::min<std::size_t>(Rank, Peers.size()));
+  const auto PeerCount =
+      static_cast<Duration::rep>(std::max<std::size_t>(1, Peers.size()));
+  const Duration Spread =
+      std::max(Times.MinConfirmationTimeoutSpread,
+               Times.ConfirmationTimeoutSpreadPerHost * PeerCount);
+  return Times.ConfirmationTimeout + Spread * SpreadRank / PeerCount;
 }
 
-void TableSync::updateReadMode(Instant Now) {
+void TableSync::updateReadModes(Instant Now) {
   if (!StartedAt)
     return;
   // A host that has not discovered its peers yet has rank 0 and would read.
   if (Now - *StartedAt < Times.DiscoveryTime)
     return;
+  for (auto &[Table, State] : Tables)
+    updateReadMode(Now, Table, State);
+}
+
+void TableSync::updateReadMode(Instant Now, StoreTable Table,
+                               TableState &State) {
   if (Rank == 0) {
-    setMode(ReadMode::Active, "reader");
+    setMode(Table, State, ReadMode::Active, "reader");
     return;
   }
   // After the start, the readers get time to send their first confirmation.
   const bool Confirmed =
-      confirmedSince(Now - confirmationTimeout()) ||
+      confirmedSince(State, Now - confirmationTimeout()) ||
       Now - *StartedAt < Times.DiscoveryTime + confirmationTimeout();
-  if (!Confirmed || isUpdateOverdue(Now)) {
-    setMode(ReadMode::Active, Confirmed ? "behind" : "not_told");
+  if (!Confirmed || isUpdateOverdue(Now, State)) {
+    setMode(Table, State, ReadMode::Active, Confirmed ? "behind" : "not_told");
     return;
   }
-  if (Now >= ReadUntil)
-    setMode(Rank < ReaderCount ? ReadMode::Standby : ReadMode::None,
+  if (Now >= State.ReadUntil)
+    setMode(Table, State,
+            Rank < ReaderCount ? ReadMode::Standby : ReadMode::None,
             "told_by_reader");
 }
 
-void TableSync::setMode(ReadMode NewMode, const char *Reason) {
-  if (NewMode == Mode)
+void TableSync::setMode(StoreTable Table, TableState &State, ReadMode NewMode,
+                        const char *Reason) {
+  if (NewMode == State.Mode)
     return;
-  Mode = NewMode;
-  Callbacks.Log("store_reading", {{"mode", toString(NewMode)},
+  State.Mode = NewMode;
+  Callbacks.Log("store_reading", {{"table", toString(Table)},
+                                  {"mode", toString(NewMode)},
                                   {"why", Reason},
                                   {"rank", std::to_string(Rank)},
                                   {"hosts", std::to_string(Peers.size() + 1)}});
-  Callbacks.SetReadMode(NewMode);
+  Callbacks.SetReadMode(Table, NewMode);
 }
 
 void TableSync::onStoreRead(Instant Now, StoreTable Table, bool HasChanges,
                             std::uint64_t PreviousVersion) {
   TableState &State = Tables.at(Table);
-  if (!confirmedSince(Now - confirmationTimeout()))
-    ReadUntil = Now + Times.MinReadTime;
+  if (!confirmedSince(State, Now - confirmationTimeout()))
+    State.ReadUntil = Now + Times.MinReadTime;
   State.ConfirmedAt = Now;
-  if (Mode == ReadMode::None)
+  if (State.Mode == ReadMode::None)
     return;
   // Only the primary reader sends the rows. A host that misses them requests
   // them from a peer that reports the later version.
@@ -230,7 +239,8 @@
   if (HasChanges && Rank == 1 &&
       PreviousVersion < State.Cache->latestRowVersion() &&
       !State.BackupSendAt) {
-    State.BackupSendAt = Now + Times.BackupSendDelay;
+    State.BackupSendAt = Now + (isLargeFleet() ? Times.LargeFleetBackupSendDelay
+                                               : Times.BackupSendDelay);
     State.BackupSendAfter = PreviousVersion;
   }
 }
@@ -318,7 +328,7 @@
       Message.Whole || Message.After <= knownVersion(*State.Cache);
   if (!IsContiguous) {
     recordNewerVersion(Now, State, From, Message.UpTo);
-    updateReadMode(Now);
+    updateReadModes(Now);
     return;
   }
   if (!Message.Rows.empty()) {
--- a/direct/table_sync.h
+++ b/direct/table_sync.h
@@ -37,26 +37,32 @@
   /// the primary reader, which may have lost the store, does so within this
   /// time.
   Duration BackupSendDelay = std::chrono::milliseconds(200);
+  /// The same where updates are forwarded, which takes longer.
+  Duration LargeFleetBackupSendDelay = std::chrono::milliseconds(500);
   /// The backup reader becomes an active reader after this long without a
   /// confirmation that its rows are up to date.
   Duration BackupConfirmationTimeout = std::chrono::milliseconds(1150);
-  /// ConfirmationTimeout grows by up to this with the rank of a host, so that
-  /// hosts do not all start to read at once.
-  Duration ConfirmationTimeoutSpread = std::chrono::milliseconds(200);
+  /// ConfirmationTimeout grows with the rank of a host by up to this for each
+  /// host of the fleet, but by MinConfirmationTimeoutSpread at least. The first
+  /// hosts that read the store thus vouch for it before the others read, too.
+  Duration ConfirmationTimeoutSpreadPerHost = std::chrono::milliseconds(5);
+  Duration MinConfirmationTimeoutSpread = std::chrono::milliseconds(200);
   /// A host that read the store because confirmations were missing keeps
   /// reading for at least this long.
   Duration MinReadTime = std::chrono::seconds(2);
   /// Longest pause between calls to a store that does not answer, for the first
   /// ShortRetryHosts hosts by rank.
   Duration ShortRetryPause = std::chrono::milliseconds(800);
-  /// The same for all other hosts.
+  /// The same for all other hosts. It grows with the fleet, so that the calls
+  /// of all hosts together do not.
   Duration LongRetryPause = std::chrono::seconds(2);
+  Duration LongRetryPausePerHost = std::chrono::milliseconds(35);
   std::size_t ShortRetryHosts = 8;
   /// Time after the start in which a host discovers its peers.
   Duration DiscoveryTime = std::chrono::milliseconds(1200);
   /// Time after the start in which a host waits for the tables of a peer before
   /// it reads them from the store.
-  Duration PeerTableTime = std::chrono::milliseconds(300);
+  Duration PeerTableTime = std::chrono::milliseconds(100);
 };
 
 /// How a host reads the store.
@@ -88,8 +94,8 @@
     std::function<void(const HostName &, PeerBody)> Send;
     /// Sends an update to all other hosts.
     std::function<void(const TableRows &)> Broadcast;
-    /// Sets how this host reads the store from now on.
-    std::function<void(ReadMode)> SetReadMode;
+    /// Sets how this host reads a table of the store from now on.
+    std::function<void(StoreTable, ReadMode)> SetReadMode;
     /// Reads a whole table from the store once.
     std::function<void(StoreTable)> ReadTable;
     FlowLogHook Log;
@@ -118,7 +124,6 @@
               Duration Delay);
   void tick(Instant Now);
 
-  ReadMode mode() const { return Mode; }
   /// Whether this host has no rows of any table.
   bool lacksRows() const { return versions() == TableVersions(); }
   /// Position of this host in the order of all hosts. Rank 0 is the primary
@@ -134,6 +139,10 @@
 private:
   struct TableState {
     TableCache *Cache = nullptr;
+    /// How this host reads the table.
+    ReadMode Mode = ReadMode::None;
+    /// This host does not leave the active mode before this time.
+    Instant ReadUntil{};
     /// When this host's rows were last known to match the store.
     std::optional<Instant> ConfirmedAt;
     /// Peer with the latest version that this host lacks.
@@ -170,18 +179,20 @@
   /// is too large.
   void broadcastUpdate(Instant Now, StoreTable Table, const TableState &State,
                        std::uint64_t After);
-  void updateReadMode(Instant Now);
+  void updateReadModes(Instant Now);
+  void updateReadMode(Instant Now, StoreTable Table, TableState &State);
   /// Time without a confirmation after which this host reads the store itself.
   Duration confirmationTimeout() const;
   Duration updateTimeout() const;
   Duration requestAfter() const;
   /// Whether hosts forward updates to each other.
   bool isLargeFleet() const;
-  void setMode(ReadMode NewMode, const char *Reason);
-  /// Whether all tables were confirmed to be up to date at \p Since or later.
-  bool confirmedSince(Instant Since) const;
+  void setMode(StoreTable Table, TableState &State, ReadMode NewMode,
+               const char *Reason);
+  /// Whether the table was confirmed to be up to date at \p Since or later.
+  static bool confirmedSince(const TableState &State, Instant Since);
   /// Whether a pending version did not arrive within UpdateTimeout.
-  bool isUpdateOverdue(Instant Now) const;
+  bool isUpdateOverdue(Instant Now, const TableState &State) const;
   /// Forgets the newer version, or waits for the next one, once the rows have
   /// arrived.
   void updatePendingVersion(TableState &State) const;
@@ -196,9 +207,6 @@
   /// Those of this host's data centre.
   std::vector<HostName> LocalPeers;
   std::size_t Rank = 0;
-  ReadMode Mode = ReadMode::None;
-  /// This host does not leave the active mode before this time.
-  Instant ReadUntil{};
   /// Time of the first tick().
   std::optional<Instant> StartedAt;
   /// A peer has no tables either: many hosts have just started.
--- a/tests/direct/fleet_gossip_test.cpp
+++ b/tests/direct/fleet_gossip_test.cpp
@@ -22,7 +22,14 @@
     bool Down = false;
     /// Bytes of table rows that this host sent.
     std::uint64_t RowBytesSent = 0;
-    ReadMode Mode = ReadMode::None;
+    std::map<StoreTable, ReadMode> Modes;
+    /// How closely this host reads the table that it reads most closely.
+    ReadMode mode() const {
+      ReadMode Result = ReadMode::None;
+      for (const auto &[Table, Mode] : Modes)
+        Result = std::max(Result, Mode);
+      return Result;
+    }
     /// Member records that this host sent.
     std::uint64_t MembersSent = 0;
   };
@@ -72,8 +79,8 @@
                                      const PeerMessage &Message) {
       enqueue(Address, To, Message);
     };
-    Callbacks.SetReadMode = [this, Address](ReadMode Mode) {
-      Hosts.at(Address).Mode = Mode;
+    Callbacks.SetReadMode = [this, Address](StoreTable Table, ReadMode Mode) {
+      Hosts.at(Address).Modes[Table] = Mode;
     };
     Callbacks.ReadTable = [this, Address](StoreTable Table) {
       readTable(Hosts.at(Address), Table);
@@ -299,7 +306,7 @@
   EXPECT_EQ(TablesRead, 0U);
   const auto Readers =
       std::count_if(Hosts.begin(), Hosts.end(), [](const auto &Entry) {
-        return Entry.second.Mode != ReadMode::None;
+        return Entry.second.mode() != ReadMode::None;
       });
   EXPECT_LE(Readers, 2);
 }
@@ -379,7 +386,8 @@
   confirm();
   registerServers();
   for (const auto &[Address, Node] : Hosts)
-    EXPECT_TRUE(Node.Mode != ReadMode::Active || Address == Reader) << Address;
+    EXPECT_TRUE(Node.mode() != ReadMode::Active || Address == Reader)
+        << Address;
 }
 
 // A host that ends while it forwards rows delays them by the time until the
@@ -401,6 +409,67 @@
         << Address;
 }
 
+/// A fleet of 189 hosts that read the store as their read modes ask. The store
+/// turns away a third of them, among them the two that read it for the others.
+class FleetGossipStoreTurnsHostsAwayTest : public FleetGossipTest {
+protected:
+  FleetGossipStoreTurnsHostsAwayTest() {
+    startFleet(189);
+    follow(8s);
+    for (const auto &[Address, Node] : Hosts)
+      if (Node.Gossip->rank() < 2 || Node.Gossip->rank() % 3 == 0)
+        TurnedAway.insert(Address);
+    EverReading.clear();
+  }
+
+  void follow(Duration Span) {
+    constexpr Duration Step = 50ms;
+    for (const Instant End = Now + Span; Now < End;) {
+      advanceTime(Step);
+      answerReads();
+      for (auto &[Address, Node] : Hosts)
+        for (const auto &[Table, Mode] : Node.Modes)
+          if (Mode == ReadMode::Active)
+            read(Address, Table);
+    }
+  }
+  void read(const std::string &Address, StoreTable Table) {
+    Instant &Last = LastRead[{Address, Table}];
+    if (Now - Last < 1s)
+      return;
+    Last = Now;
+    EverReading.insert(Address);
+    if (!TurnedAway.contains(Address))
+      OpenReads.push_back({Address, Table, Now + 100ms});
+  }
+  void answerReads() {
+    std::erase_if(OpenReads, [this](const OpenRead &Read) {
+      if (Now < Read.AnsweredAt)
+        return false;
+      Hosts.at(Read.Reader).Gossip->onStoreRead(Now, Read.Table, false, 0);
+      return true;
+    });
+  }
+
+  struct OpenRead {
+    std::string Reader;
+    StoreTable Table;
+    Instant AnsweredAt{};
+  };
+
+  std::set<std::string> TurnedAway;
+  std::set<std::string> EverReading;
+  std::vector<OpenRead> OpenReads;
+  std::map<std::pair<std::string, StoreTable>, Instant> LastRead;
+};
+
+// Guards against reads by the whole fleet because its two readers lost the
+// store.
+TEST_F(FleetGossipStoreTurnsHostsAwayTest, tick_readersTurnedAway_fewTakeOver) {
+  follow(6s);
+  EXPECT_LE(EverReading.size(), Hosts.size() / 4);
+}
+
 /// A fleet in which a request has crashed three servers.
 class FleetGossipCrashTest : public FleetGossipTest {
 protected:
--- a/tests/direct/table_sync_test.cpp
+++ b/tests/direct/table_sync_test.cpp
@@ -20,10 +20,17 @@
         Rows[Row.Key] = Row.Value;
     }};
     TableCache Servers{[](const TableRow &) {}};
-    ReadMode Mode = ReadMode::None;
+    std::map<StoreTable, ReadMode> Modes;
     bool ReadsNow = false;
     bool Disconnected = false;
     std::unique_ptr<TableSync> Sync;
+    /// How closely this host reads the table that it reads most closely.
+    ReadMode mode() const {
+      ReadMode Result = ReadMode::None;
+      for (const auto &[Table, Mode] : Modes)
+        Result = std::max(Result, Mode);
+      return Result;
+    }
   };
 
   TableSyncTest() {
@@ -48,10 +55,10 @@
           if (Name != From)
             deliver(From, Name, Updates);
       };
-      Callbacks.SetReadMode = [&NewHost](ReadMode Mode) {
+      Callbacks.SetReadMode = [&NewHost](StoreTable Table, ReadMode Mode) {
         // The first read in active mode starts at once.
-        NewHost.ReadsNow = Mode == ReadMode::Active;
-        NewHost.Mode = Mode;
+        NewHost.ReadsNow |= Mode == ReadMode::Active;
+        NewHost.Modes[Table] = Mode;
       };
       Callbacks.ReadTable = [this, &NewHost](StoreTable Table) {
         ++TablesRead;
@@ -88,7 +95,8 @@
       Now += 50ms;
       const bool ReadIsDue = Now.time_since_epoch() % 1s == 0ms;
       for (auto &[Name, TestHost] : Hosts) {
-        const bool CanRead = TestHost.Mode == ReadMode::Active && StoreAnswers;
+        const bool CanRead =
+            TestHost.mode() == ReadMode::Active && StoreAnswers;
         if (CanRead && (ReadIsDue || std::exchange(TestHost.ReadsNow, false)))
           readStore(TestHost);
         TestHost.Sync->tick(Now);
@@ -116,7 +124,7 @@
   std::size_t count(ReadMode Mode) const {
     return static_cast<std::size_t>(
         std::count_if(Hosts.begin(), Hosts.end(), [Mode](const auto &Entry) {
-          return Entry.second.Mode == Mode;
+          return Entry.second.mode() == Mode;
         }));
   }
 
@@ -143,8 +151,8 @@
   advanceTime(6s);
   EXPECT_EQ(count(ReadMode::Active), 1U);
   EXPECT_EQ(count(ReadMode::Standby), 1U);
-  EXPECT_EQ(hostOfRank(0).Mode, ReadMode::Active);
-  EXPECT_EQ(hostOfRank(1).Mode, ReadMode::Standby);
+  EXPECT_EQ(hostOfRank(0).mode(), ReadMode::Active);
+  EXPECT_EQ(hostOfRank(1).mode(), ReadMode::Standby);
 }
 
 TEST_F(TableSyncTest, onStoreRead_change_reachesEveryHost) {
@@ -212,12 +220,12 @@
 
 TEST_F(TableSyncTest, onRows_delayedMessage_doesNotConfirm) {
   advanceTime(6s);
-  EXPECT_EQ(hostOfRank(4).Mode, ReadMode::None);
+  EXPECT_EQ(hostOfRank(4).mode(), ReadMode::None);
   // The primary reader's link is congested, so its confirmations are already
   // old when they arrive.
   Delay = 3s;
   advanceTime(2500ms);
-  EXPECT_EQ(hostOfRank(4).Mode, ReadMode::Active);
+  EXPECT_EQ(hostOfRank(4).mode(), ReadMode::Active);
 }
 
 // While servers register over several seconds, a host always knows of a version
@@ -236,11 +244,11 @@
     Updates.UpTo = Known + 1;
     Updates.Rows = {{"config", Known + 1, false, "next"}};
     Follower.Sync->onRows(Now, HostName("host-0"), Updates, 0ms);
-    EXPECT_NE(Follower.Mode, ReadMode::Active) << "change " << Index;
+    EXPECT_NE(Follower.mode(), ReadMode::Active) << "change " << Index;
   }
   // The rows of the last announced version never arrive.
   advanceTime(400ms);
-  EXPECT_EQ(Follower.Mode, ReadMode::Active);
+  EXPECT_EQ(Follower.mode(), ReadMode::Active);
 }
 
 TEST_F(TableSyncTest, longestRetry_manyHosts_onlyTheFirstRetryOften) {
@@ -277,9 +285,9 @@
   advanceTime(3s);
   // The first of these hosts to read updates the others, which then need not
   // read. Any of the three may be the first.
-  EXPECT_TRUE(hostOfRank(2).Mode == ReadMode::Active ||
-              hostOfRank(3).Mode == ReadMode::Active ||
-              hostOfRank(4).Mode == ReadMode::Active);
+  EXPECT_TRUE(hostOfRank(2).mode() == ReadMode::Active ||
+              hostOfRank(3).mode() == ReadMode::Active ||
+              hostOfRank(4).mode() == ReadMode::Active);
 }
 
 TEST_F(TableSyncTest, tick_storeRecovers_otherHostsStopReadingSoon) {
@@ -305,7 +313,7 @@
     EXPECT_EQ(TestHost.Rows["config"], "next") << Name.value();
   advanceTime(300ms);
   for (unsigned Rank = 2; Rank < 5; ++Rank)
-    EXPECT_EQ(hostOfRank(Rank).Mode, ReadMode::None) << Rank;
+    EXPECT_EQ(hostOfRank(Rank).mode(), ReadMode::None) << Rank;
 }
 
 TEST_F(TableSyncTest, onStoreRead_primaryReaderSentTheRows_backupDoesNot) {
@@ -331,5 +339,14 @@
     EXPECT_EQ(TestHost.Rows.at("config").size(), 100'000U) << Name.value();
 }
 
+TEST_F(TableSyncTest, tick_oneTableBehind_otherTableIsNotRead) {
+  advanceTime(6s);
+  Host &Follower = hostOfRank(3);
+  Follower.Sync->onPeerVersions(Now, HostName("host-9"), {0, 8});
+  advanceTime(600ms);
+  EXPECT_EQ(Follower.Modes.at(StoreTable::Servers), ReadMode::Active);
+  EXPECT_EQ(Follower.Modes[StoreTable::Routes], ReadMode::None);
+}
+
 } // namespace
 } // namespace mimosacart
