Refuse what may outlast a planned stop

What operators of similar systems saw: requests that came late in the grace of a planned stop were passed on and cut with no answer at its end, among them requests that may run once only.

Cause, by a test here: a stopping host passed on every request until its last connection was closed, whatever its timeout; at 250 ms before the end of the grace it ends with calls open.

Failed before: DirectNodeStopTest.onRequest_mayOutlastTheGrace_isRefusedAsNotRun (new function of onStop(); before, such a request was passed on).

--- a/daemon/direct_host_process.cpp
+++ b/daemon/direct_host_process.cpp
@@ -446,7 +446,9 @@
            {{"open_requests", std::to_string(Core.openRequests())},
             {"grace_ms",
              std::to_string(wholeMilliseconds(Settings.Direct->StopGrace))}});
-  Core.onStop(now());
+  const Duration StopGrace = Settings.Direct->StopGrace;
+  Core.onStop(StopStartedAt, StopStartedAt + scaled(StopGrace, AcceptFraction),
+              StopStartedAt + StopGrace - StopMargin);
   CallerEndpoint.drain();
   if (Registered)
     Store.removeRow(HostsTableName, Settings.Name.value(),
--- a/direct/direct_node.cpp
+++ b/direct/direct_node.cpp
@@ -87,6 +87,13 @@
     refuse(Now, Id, *Request, RefusalReason::NoRoute);
     return;
   }
+  const Duration EffectiveTimeout =
+      std::min(Request->Timeout.value_or(Route->Timeout), Route->Timeout);
+  // Its server might still be at work on it when this process ends.
+  if (Now >= TakeAllUntil && Now + EffectiveTimeout > EndsAt) {
+    refuse(Now, Id, *Request, RefusalReason::Stopping);
+    return;
+  }
   FlowRequest RoutedRequest;
   RoutedRequest.Id = Id;
   RoutedRequest.Route = *Route;
@@ -95,8 +102,6 @@
   RoutedRequest.Service = Found == Configuration->Services.end()
                               ? ServiceSettings{Service, "/", 0}
                               : Found->second;
-  const Duration EffectiveTimeout =
-      std::min(Request->Timeout.value_or(Route->Timeout), Route->Timeout);
   RoutedRequest.Arrived = Now;
   RoutedRequest.Deadline = Now + EffectiveTimeout;
   RoutedRequest.Fingerprint = fingerprintOf(Host, *Request);
@@ -197,9 +202,12 @@
   Fleet.onCrashRecordsRead(Now, std::move(Recorded));
 }
 
-void DirectNode::onStop(Instant At) {
+void DirectNode::onStop(Instant At, Instant NewTakeAllUntil,
+                        Instant NewEndsAt) {
   Now = At;
   Stopping = true;
+  TakeAllUntil = NewTakeAllUntil;
+  EndsAt = NewEndsAt;
   Fleet.leave(Now);
 }
 
--- a/direct/direct_node.h
+++ b/direct/direct_node.h
@@ -98,8 +98,9 @@
   }
   /// See FleetGossip::onCrashRecordsRead().
   void onCrashRecordsRead(Instant Now, std::vector<CrashNotice> Recorded);
-  /// Begins a planned stop, so that callers use other hosts.
-  void onStop(Instant Now);
+  /// Begins a planned stop, so that callers use other hosts. All requests are
+  /// taken until \p TakeAllUntil, later ones only if they end by \p EndsAt.
+  void onStop(Instant Now, Instant TakeAllUntil, Instant EndsAt);
   /// Sends the last message before the process exits.
   void onEnd(Instant Now) { Fleet.finish(Now); }
 
@@ -158,6 +159,10 @@
   /// Time of the event being handled.
   Instant Now;
   bool Stopping = false;
+  /// From the first time on, requests that may last beyond the second are
+  /// refused.
+  Instant TakeAllUntil = Instant::max();
+  Instant EndsAt = Instant::max();
   bool StoreLost = false;
   std::optional<Instant> StoreRegainedAt;
   RouteConfigurationPtr Configuration;
