--- /dev/null
+++ b/tests/direct/fleet_gossip_crash_test.cpp
@@ -0,0 +1,133 @@
+/// \file
+/// Crashes of servers by requests, known to all hosts of a fleet.
+#include "tests/direct/gossip_fleet.h"
+
+namespace mimosacart {
+namespace {
+
+/// A fleet in which a request has crashed three servers.
+class FleetGossipCrashTest : public FleetGossipTest {
+protected:
+  static constexpr std::uint64_t Fingerprint = 7;
+
+  FleetGossipCrashTest() {
+    startFleet(6);
+    advanceTime(3s);
+    for (const char *Server : {"a", "b", "c"})
+      gossip(0).addCrash(Now, Fingerprint, ServerName(Server));
+    advanceTime(100ms);
+  }
+
+  FleetGossip &gossip(unsigned Number) {
+    return *Hosts.at(addressOf(Number)).Gossip;
+  }
+  std::size_t fewestKnown() {
+    std::size_t Result = 3;
+    for (unsigned Number = 0; Number < 6; ++Number)
+      Result = std::min(Result, gossip(Number).crashes(Fingerprint));
+    return Result;
+  }
+};
+
+TEST_F(FleetGossipCrashTest, addCrash_threeCrashes_areKnownToAllHostsAtOnce) {
+  EXPECT_EQ(fewestKnown(), 3U);
+}
+
+// Guards against sending a request again that comes for longer than notices
+// live, at whichever host.
+TEST_F(FleetGossipCrashTest, renewCrashes_copiesKeepComing_noHostForgets) {
+  for (unsigned Step = 0; Step < 12; ++Step) {
+    advanceTime(10s);
+    gossip(3).renewCrashes(Now, Fingerprint);
+  }
+  advanceTime(3s);
+  EXPECT_EQ(fewestKnown(), 3U);
+}
+
+TEST_F(FleetGossipCrashTest, tick_hostsRestartInTurn_noHostForgets) {
+  for (unsigned Number = 0; Number < 6; ++Number) {
+    startHost(Number, "~2");
+    advanceTime(3s);
+  }
+  EXPECT_EQ(fewestKnown(), 3U);
+}
+
+// Guards against blaming a request three times for one server that ended while
+// three hosts had copies of it open.
+TEST_F(FleetGossipCrashTest, addCrash_sameEndSeenByAllHosts_countsOnce) {
+  constexpr std::uint64_t Other = 9;
+  for (unsigned Number = 0; Number < 6; ++Number)
+    gossip(Number).addCrash(Now, Other, ServerName("a"));
+  advanceTime(1s);
+  EXPECT_EQ(gossip(0).crashes(Other), 1U);
+  // The server is back and ends again.
+  advanceTime(5s);
+  gossip(5).addCrash(Now, Other, ServerName("a"));
+  advanceTime(100ms);
+  EXPECT_EQ(gossip(0).crashes(Other), 2U);
+}
+
+// Guards against refusing a request for good that servers run to its end.
+TEST_F(FleetGossipCrashTest, excuseCrashes_noticesExchangedAgain_stayExcused) {
+  gossip(2).excuseCrashes(Fingerprint);
+  startHost(5, "~2");
+  advanceTime(5s);
+  EXPECT_EQ(gossip(2).crashes(Fingerprint), 0U);
+  gossip(0).addCrash(Now, Fingerprint, ServerName("d"));
+  advanceTime(100ms);
+  EXPECT_EQ(gossip(2).crashes(Fingerprint), 1U);
+}
+
+// Guards against sending a request to servers again because all hosts that knew
+// of its crashes were killed at once.
+TEST_F(FleetGossipCrashTest, tick_allHostsRestartAtOnce_noHostForgets) {
+  for (unsigned Number = 0; Number < 6; ++Number)
+    startHost(Number, "~2");
+  advanceTime(3s);
+  EXPECT_EQ(fewestKnown(), 3U);
+}
+
+TEST_F(FleetGossipCrashTest, tick_storeAwayAtTheThirdCrash_isRecordedLater) {
+  constexpr std::uint64_t Other = 9;
+  StoreAnswers = false;
+  for (const char *Server : {"a", "b", "c"})
+    gossip(2).addCrash(Now, Other, ServerName(Server));
+  advanceTime(3s);
+  EXPECT_FALSE(StoredCrashes.contains(Other));
+  StoreAnswers = true;
+  advanceTime(3s);
+  EXPECT_EQ(StoredCrashes.at(Other).size(), 3U);
+}
+
+TEST_F(FleetGossipCrashTest, tick_twoCrashes_nothingIsRecorded) {
+  constexpr std::uint64_t Other = 9;
+  for (const char *Server : {"a", "b"})
+    gossip(2).addCrash(Now, Other, ServerName(Server));
+  advanceTime(3s);
+  EXPECT_FALSE(StoredCrashes.contains(Other));
+}
+
+TEST_F(FleetGossipCrashTest, tick_crashesExpire_recordIsRemoved) {
+  ASSERT_TRUE(StoredCrashes.contains(Fingerprint));
+  advanceTime(61s);
+  EXPECT_TRUE(StoredCrashes.empty());
+}
+
+// Also if the host that wrote the record has ended since.
+TEST_F(FleetGossipCrashTest, tick_crashesExpireAfterRestart_recordIsRemoved) {
+  for (unsigned Number = 0; Number < 6; ++Number)
+    startHost(Number, "~2");
+  advanceTime(3s);
+  ASSERT_TRUE(StoredCrashes.contains(Fingerprint));
+  advanceTime(61s);
+  EXPECT_TRUE(StoredCrashes.empty());
+}
+
+TEST_F(FleetGossipTest, tick_allStartAtOnce_fewHostsReadCrashRecords) {
+  startFleet(60);
+  advanceTime(6s);
+  EXPECT_LE(RecordReads, 2 * CrashRecords::ReaderCount);
+}
+
+} // namespace
+} // namespace mimosacart
