Pause before accepting again when accepting fails

What callers would see: a host without free file descriptors spends its processor on failing accepts while its open requests wait.

Cause: a failed accept was repeated at once; the connection that waits makes it fail again.

Change: 50 ms pause. Failed before: HttpServerDescriptorTest.accept_ noDescriptorsLeft_isNotRepeatedAtOnce, 425,573 handlers in 300 ms.

--- a/net/http_server.cpp
+++ b/net/http_server.cpp
@@ -14,6 +14,9 @@
 /// Maximum number of body bytes received but not yet parsed. Bounds the lines
 /// of a chunked body, which the parser does not limit.
 constexpr std::size_t MaxUnparsedBodyBytes = 128U << 10U;
+/// Pause after a failed accept, which fails again at once while the process has
+/// no file descriptors left.
+constexpr Duration AcceptRetryPause = std::chrono::milliseconds(50);
 
 NetError toNetError(const beast::error_code &Error) {
   if (Error == http::error::header_limit)
@@ -39,17 +42,19 @@
 public:
   Impl(asio::io_context &Context, HttpServerLimits Limits, Handler Handle,
        RefusalHook Refuse)
-      : Context(Context), Acceptor(Context), Limits(Limits),
-        Handle(std::move(Handle)), Refuse(std::move(Refuse)) {}
+      : Context(Context), Acceptor(Context), AcceptRetry(Context),
+        Limits(Limits), Handle(std::move(Handle)), Refuse(std::move(Refuse)) {}
 
   boost::outcome_v2::result<void, std::error_code>
   listen(const std::string &Address);
   void stop();
   void drain();
   void accept();
+  void acceptLater();
 
   asio::io_context &Context;
   tcp::acceptor Acceptor;
+  asio::steady_timer AcceptRetry;
   HttpServerLimits Limits;
   const Handler Handle;
   const RefusalHook Refuse;
@@ -297,7 +302,7 @@
     if (Self->Stopping || Error == asio::error::operation_aborted)
       return;
     if (Error) {
-      Self->accept();
+      Self->acceptLater();
       return;
     }
     beast::error_code Ignored;
@@ -316,8 +321,17 @@
   });
 }
 
+void HttpServer::Impl::acceptLater() {
+  AcceptRetry.expires_after(AcceptRetryPause);
+  AcceptRetry.async_wait([Self = shared_from_this()](beast::error_code Error) {
+    if (!Error && !Self->Stopping)
+      Self->accept();
+  });
+}
+
 void HttpServer::Impl::stop() {
   Stopping = true;
+  AcceptRetry.cancel();
   beast::error_code Ignored;
   Acceptor.close(Ignored);
   const std::unordered_set<Session *> OpenSessions = Sessions;
--- a/tests/net/http_server_test.cpp
+++ b/tests/net/http_server_test.cpp
@@ -13,7 +13,9 @@
 #include <gtest/gtest.h>
 
 #include <fmt/format.h>
+#include <sys/resource.h>
 #include <thread>
+#include <unistd.h>
 
 namespace mimosacart {
 namespace {
@@ -225,5 +227,66 @@
   EXPECT_LT(Written, MaxBytes);
 }
 
+/// A server in a process that has no file descriptors left while a client
+/// connects. Runs in the thread of the test.
+class HttpServerDescriptorTest : public testing::Test {
+protected:
+  HttpServerDescriptorTest()
+      : Server(
+            Context, {},
+            [](const HttpRequest &,
+               const std::shared_ptr<HttpExchange> &Exchange) {
+              Exchange->respond({200, {}, "served"});
+            },
+            toRefusal),
+        Caller(Context) {
+    for (unsigned Port = 9'900; Port < 9'990; ++Port) {
+      const std::string Address = fmt::format("127.0.0.1:{}", Port);
+      if (!Server.listen(Address).has_value())
+        continue;
+      Caller.connect(*parseEndpoint(Address));
+      break;
+    }
+    getrlimit(RLIMIT_NOFILE, &OldLimit);
+    rlimit FewDescriptors = OldLimit;
+    FewDescriptors.rlim_cur = 128;
+    setrlimit(RLIMIT_NOFILE, &FewDescriptors);
+    for (int Copy = dup(0); Copy >= 0; Copy = dup(0))
+      Copies.push_back(Copy);
+  }
+  ~HttpServerDescriptorTest() override {
+    freeDescriptors();
+    setrlimit(RLIMIT_NOFILE, &OldLimit);
+  }
+  void freeDescriptors() {
+    for (const int Copy : Copies)
+      close(Copy);
+    Copies.clear();
+  }
+
+  asio::io_context Context;
+  HttpServer Server;
+  tcp::socket Caller;
+  rlimit OldLimit{};
+  std::vector<int> Copies;
+};
+
+// Guards against a process that does nothing but fail to accept, so that open
+// connections starve.
+TEST_F(HttpServerDescriptorTest, accept_noDescriptorsLeft_isNotRepeatedAtOnce) {
+  constexpr std::size_t FewHandlers = 50;
+  EXPECT_LE(Context.run_for(300ms), FewHandlers);
+}
+
+TEST_F(HttpServerDescriptorTest, accept_descriptorsAreFreeAgain_servesCaller) {
+  Context.run_for(100ms);
+  freeDescriptors();
+  asio::write(Caller, asio::buffer(std::string_view(
+                          "GET / HTTP/1.1\r\nHost: a\r\n\r\n")));
+  Context.run_for(500ms);
+  boost::system::error_code Error;
+  EXPECT_GT(Caller.available(Error), 0U);
+}
+
 } // namespace
 } // namespace mimosacart
