--- a/daemon/direct_host_process.cpp
+++ b/daemon/direct_host_process.cpp
@@ -124,6 +124,7 @@
       StoreHttp(IoContext, MaxAnswerBytes),
       Store(StoreHttp, Settings.PlatformAddress, StoreTimeout),
       CrashRecordRows(Store, Log, makeCrashRecordHooks()),
+      HostRegistration(Store, Log, Settings.Name.value(), Settings.PeerAddress),
       Peers(IoContext, [this](std::string_view Bytes) { onPeerBytes(Bytes); }),
       Core(now(), makeNodeSettings(Settings, Incarnation), makeCoreHooks()),
       RouteFollower(IoContext, Store, RoutesTableName, Log,
@@ -348,13 +349,26 @@
     Exchange.respond(makeTextPage(StatusNotFound, "no such page\n"));
     return;
   }
-  const std::uint64_t StoreCalls =
-      RouteFollower.calls() + ServerFollower.calls() + CrashRecordRows.calls();
   Exchange.respond(makeTextPage(
-      StatusOk, HostMetrics.render(Core, Peers.counters(), StoreCalls,
+      StatusOk, HostMetrics.render(Core, Peers.counters(), countStoreCalls(),
                                    CallerEndpoint.connections())));
 }
 
+StoreCallsByCause DirectHostProcess::countStoreCalls() const {
+  StoreCallsByCause Result;
+  for (const StoreTable Table : {StoreTable::Routes, StoreTable::Servers}) {
+    const StoreCallCounts &Counts =
+        (Table == StoreTable::Routes ? RouteFollower : ServerFollower).calls();
+    const std::string Prefix = toString(Table);
+    Result[Prefix + "_pages"] = Counts.Pages;
+    Result[Prefix + "_fetches"] = Counts.Fetches;
+    Result[Prefix + "_polls"] = Counts.Polls;
+  }
+  Result["crash_records"] = CrashRecordRows.calls();
+  Result["host_rows"] = HostRegistration.calls();
+  return Result;
+}
+
 void DirectHostProcess::finishEvent() {
   Log.flush();
   const Instant NextTick = Core.nextTick();
@@ -389,41 +403,15 @@
 void DirectHostProcess::discoverPeers(unsigned Round) {
   const bool IsAlone = Core.hosts() == 1;
   const bool ShouldRegister = Core.rank() < RegisteredRanks;
-  if (ShouldRegister && !Registered)
-    registerHost();
+  if (ShouldRegister)
+    HostRegistration.add();
   if (IsAlone || (ShouldRegister && Round % RoundsPerPeerRead == 0))
-    readPeers();
+    HostRegistration.read([this](std::vector<std::string> Addresses) {
+      Core.onPeerAddresses(std::move(Addresses));
+    });
   scheduleDiscovery(DiscoveryInterval, Round + 1);
 }
 
-void DirectHostProcess::registerHost() {
-  Registered = true;
-  Store.writeRow(
-      HostsTableName, Settings.Name.value(), writeHost(Settings.PeerAddress),
-      [this](const StoreResult<void> &Result) {
-        if (Result.has_value())
-          return;
-        Registered = false;
-        Log.error("host_row_not_written", {{"why", Result.error().message()}});
-      });
-}
-
-void DirectHostProcess::readPeers() {
-  Store.readRows(HostsTableName, "", [this](StoreResult<StoreRows> Result) {
-    if (Result.has_error()) {
-      Log.error("host_rows_not_read", {{"why", Result.error().message()}});
-      return;
-    }
-    std::vector<std::string> Addresses;
-    for (const TableRow &Row : Result.value().Rows)
-      if (const auto Address = readHost(Row))
-        Addresses.push_back(*Address);
-      else
-        Log.error("host_row_unusable", {{"row", Row.Key}});
-    Core.onPeerAddresses(std::move(Addresses));
-  });
-}
-
 void DirectHostProcess::reload(const HostSettings &NewSettings) {
   Settings.LogLevel = NewSettings.LogLevel;
   Settings.Direct->DirectoryLifetime = NewSettings.Direct->DirectoryLifetime;
@@ -450,13 +438,7 @@
   Core.onStop(StopStartedAt, StopStartedAt + scaled(StopGrace, AcceptFraction),
               StopStartedAt + StopGrace - StopMargin);
   CallerEndpoint.drain();
-  if (Registered)
-    Store.removeRow(HostsTableName, Settings.Name.value(),
-                    [this](const StoreResult<void> &Result) {
-                      if (Result.has_error())
-                        Log.error("host_row_not_removed",
-                                  {{"why", Result.error().message()}});
-                    });
+  HostRegistration.remove();
   finishEvent();
   advanceStop();
 }
--- a/daemon/direct_host_process.h
+++ b/daemon/direct_host_process.h
@@ -6,6 +6,7 @@
 #include "daemon/crash_record_store.h"
 #include "daemon/direct_metrics.h"
 #include "daemon/event_log.h"
+#include "daemon/host_rows.h"
 #include "daemon/table_follower.h"
 #include "direct/direct_node.h"
 #include "net/http_client.h"
@@ -61,6 +62,7 @@
   void probeServer(const DirectProbe &Probe);
   void reply(const FlowResult &Result);
   void applyConfiguration(const RouteConfiguration &Configuration);
+  StoreCallsByCause countStoreCalls() const;
   /// Flushes the log and schedules the next tick. Must be called after each
   /// event that was passed to the core.
   void finishEvent();
@@ -70,10 +72,6 @@
   /// of other hosts if a read is due or this host has no peers. Schedules the
   /// next round.
   void discoverPeers(unsigned Round);
-  /// Writes this host's row into the store.
-  void registerHost();
-  /// Reads the peer addresses of all registered hosts from the store.
-  void readPeers();
   /// Stops accepting callers and ends the planned stop when each is due;
   /// otherwise schedules another check.
   void advanceStop();
@@ -88,6 +86,7 @@
   HttpClient StoreHttp;
   StoreClient Store;
   CrashRecordStore CrashRecordRows;
+  HostRows HostRegistration;
   PeerTransport Peers;
   DirectNode Core;
   TableFollower RouteFollower;
@@ -102,8 +101,6 @@
   Instant StopStartedAt{};
   /// Whether new connections of callers are no longer accepted.
   bool CallerEndpointStopped = false;
-  /// Whether this host's row is in the store or being written.
-  bool Registered = false;
   std::unordered_map<RequestId, std::shared_ptr<HttpExchange>> Exchanges;
   std::unordered_map<CallId, std::shared_ptr<HttpCallHandle>> Calls;
   std::uint64_t LastRequestId = 0;
--- a/daemon/direct_metrics.cpp
+++ b/daemon/direct_metrics.cpp
@@ -35,7 +35,11 @@
       StateGauge(prometheus::BuildGauge()
                      .Name("mimosacart_state")
                      .Help("Numbers that go up and down, by name")
-                     .Register(Registry)) {}
+                     .Register(Registry)),
+      StoreCallsGauge(prometheus::BuildGauge()
+                          .Name("mimosacart_store_calls")
+                          .Help("Calls to the store so far, by cause")
+                          .Register(Registry)) {}
 
 void DirectMetrics::countReply(const FlowResult &Result) {
   const bool IsAnswered = Result.Reply != nullptr;
@@ -59,7 +63,7 @@
 
 std::string DirectMetrics::render(const DirectNode &Core,
                                   const PeerTransportCounters &Transport,
-                                  std::uint64_t StoreCalls,
+                                  const StoreCallsByCause &StoreCalls,
                                   std::size_t CallerConnections) {
   const auto Set = [this](const std::string &Name, auto Value) {
     StateGauge.Add({{"name", Name}}).Set(static_cast<double>(Value));
@@ -83,7 +87,12 @@
   Set("configuration_version", Core.configurationVersion());
   Set("routes_table_version", Core.tableVersion(StoreTable::Routes));
   Set("servers_table_version", Core.tableVersion(StoreTable::Servers));
-  Set("store_calls", StoreCalls);
+  std::uint64_t AllStoreCalls = 0;
+  for (const auto &[Cause, Calls] : StoreCalls) {
+    StoreCallsGauge.Add({{"cause", Cause}}).Set(static_cast<double>(Calls));
+    AllStoreCalls += Calls;
+  }
+  Set("store_calls", AllStoreCalls);
   Set("peer_messages_sent", Transport.MessagesSent);
   Set("peer_bytes_sent", Transport.BytesSent);
   Set("peer_messages_not_sent", Transport.MessagesNotSent);
--- a/daemon/direct_metrics.h
+++ b/daemon/direct_metrics.h
@@ -12,10 +12,14 @@
 #include <prometheus/histogram.h>
 #include <prometheus/registry.h>
 
+#include <map>
 #include <string>
 
 namespace mimosacart {
 
+/// Number of calls to the store so far, by the name of their cause.
+using StoreCallsByCause = std::map<std::string, std::uint64_t>;
+
 /// Records replies to callers and renders all metrics as text.
 class DirectMetrics {
 public:
@@ -27,7 +31,8 @@
   /// of \p Core.
   std::string render(const DirectNode &Core,
                      const PeerTransportCounters &Transport,
-                     std::uint64_t StoreCalls, std::size_t CallerConnections);
+                     const StoreCallsByCause &StoreCalls,
+                     std::size_t CallerConnections);
 
 private:
   prometheus::Registry Registry;
@@ -35,6 +40,7 @@
   prometheus::Family<prometheus::Histogram> &RequestSeconds;
   prometheus::Family<prometheus::Histogram> &AddedSeconds;
   prometheus::Family<prometheus::Gauge> &StateGauge;
+  prometheus::Family<prometheus::Gauge> &StoreCallsGauge;
 };
 
 } // namespace mimosacart
--- a/daemon/table_follower.cpp
+++ b/daemon/table_follower.cpp
@@ -56,7 +56,7 @@
 }
 
 void TableFollower::readFrom(const std::string &Key) {
-  ++Calls;
+  ++Calls.Pages;
   ReadingTable = true;
   if (Key.empty())
     PageRows.clear();
@@ -139,7 +139,7 @@
 }
 
 void TableFollower::awaitChanges(Duration Wait) {
-  ++Calls;
+  ++(Wait == Duration::zero() ? Calls.Fetches : Calls.Polls);
   ChangesCall = Store.awaitChanges(Table, Callbacks.KnownVersion(), Wait,
                                    [this](StoreResult<StoreRows> Result) {
                                      if (!Stopped)
--- a/daemon/table_follower.h
+++ b/daemon/table_follower.h
@@ -19,6 +19,19 @@
 
 namespace mimosacart {
 
+/// Calls of a TableFollower to the store, by cause.
+struct StoreCallCounts {
+  /// Pages of the whole table.
+  std::uint64_t Pages = 0;
+  /// Changes that the store returns at once: those that this host lacked, and
+  /// retries.
+  std::uint64_t Fetches = 0;
+  /// Waits for changes.
+  std::uint64_t Polls = 0;
+
+  std::uint64_t total() const { return Pages + Fetches + Polls; }
+};
+
 /// Waits for changes of a table if the read mode requires it. Reads the whole
 /// table first unless peers have sent it, and again after the store has
 /// discarded changes that this host has not seen.
@@ -57,8 +70,7 @@
   void setReadMode(ReadMode NewMode);
   /// Cancels the wait for changes and ignores results of open calls.
   void stop();
-  /// Number of calls to the store so far.
-  std::uint64_t calls() const { return Calls; }
+  const StoreCallCounts &calls() const { return Calls; }
 
 private:
   struct Timer;
@@ -101,7 +113,7 @@
   ReadMode Mode = ReadMode::None;
   /// Failed calls in a row.
   unsigned Failures = 0;
-  std::uint64_t Calls = 0;
+  StoreCallCounts Calls;
   bool Stopped = false;
 };
 
--- a/tests/daemon/table_follower_test.cpp
+++ b/tests/daemon/table_follower_test.cpp
@@ -147,9 +147,9 @@
   run(100ms);
   Follower->setReadMode(ReadMode::None);
   // Counted as they are sent: the last one may not have reached the store yet.
-  const std::size_t CallsBefore = Follower->calls();
+  const std::size_t CallsBefore = Follower->calls().total();
   run(2500ms);
-  EXPECT_EQ(Follower->calls(), CallsBefore);
+  EXPECT_EQ(Follower->calls().total(), CallsBefore);
   EXPECT_EQ(Store.calls(), CallsBefore);
 }
 
@@ -159,12 +159,12 @@
   Follower->setReadMode(ReadMode::Active);
   constexpr std::size_t FirstLongPoll = 2;
   Context.restart();
-  while (Follower->calls() < FirstLongPoll)
+  while (Follower->calls().total() < FirstLongPoll)
     Context.run_one_for(1s);
   ASSERT_LT(Store.calls(), FirstLongPoll);
   Follower->setReadMode(ReadMode::None);
   run(2500ms);
-  EXPECT_EQ(Follower->calls(), FirstLongPoll);
+  EXPECT_EQ(Follower->calls().total(), FirstLongPoll);
   EXPECT_EQ(Store.calls(), FirstLongPoll);
 }
 
