Let most hosts stop reading as soon as the store is back

All hosts began to read; each that got an answer before a confirmation of a reader kept reading for two seconds.

Change: only the first eight hosts by rank do so; they vouch for the others.

Failed before: FleetGossipStoreTurnsHostsAwayTest.tick_storeIsBack_ mostReadOnlyOnce, 788 reads in 3 s after the return by 189 hosts, at most one a host wanted.

--- a/direct/table_sync.cpp
+++ b/direct/table_sync.cpp
@@ -226,7 +226,8 @@
 void TableSync::onStoreRead(Instant Now, StoreTable Table, bool HasChanges,
                             std::uint64_t PreviousVersion) {
   TableState &State = Tables.at(Table);
-  if (!confirmedSince(State, Now - confirmationTimeout()))
+  const bool TookOver = !confirmedSince(State, Now - confirmationTimeout());
+  if (TookOver && Rank < Times.ShortRetryHosts)
     State.ReadUntil = Now + Times.MinReadTime;
   State.ConfirmedAt = Now;
   if (State.Mode == ReadMode::None)
--- a/direct/table_sync.h
+++ b/direct/table_sync.h
@@ -47,8 +47,8 @@
   /// hosts that read the store thus vouch for it before the others read, too.
   Duration ConfirmationTimeoutSpreadPerHost = std::chrono::milliseconds(5);
   Duration MinConfirmationTimeoutSpread = std::chrono::milliseconds(200);
-  /// A host that read the store because confirmations were missing keeps
-  /// reading for at least this long.
+  /// One of the first ShortRetryHosts hosts by rank that read the store because
+  /// confirmations were missing keeps reading for at least this long.
   Duration MinReadTime = std::chrono::seconds(2);
   /// Longest pause between calls to a store that does not answer, for the first
   /// ShortRetryHosts hosts by rank.
--- a/tests/direct/fleet_gossip_tables_test.cpp
+++ b/tests/direct/fleet_gossip_tables_test.cpp
@@ -194,12 +194,13 @@
       return;
     Last = Now;
     EverReading.insert(Address);
+    ++Reads;
     if (!TurnedAway.contains(Address))
       OpenReads.push_back({Address, Table, Now + 100ms});
   }
   void answerReads() {
     std::erase_if(OpenReads, [this](const OpenRead &Read) {
-      if (Now < Read.AnsweredAt)
+      if (Now < Read.AnsweredAt || StoreIsSilent)
         return false;
       Hosts.at(Read.Reader).Gossip->onStoreRead(Now, Read.Table, false, 0);
       return true;
@@ -214,6 +215,9 @@
 
   std::set<std::string> TurnedAway;
   std::set<std::string> EverReading;
+  std::size_t Reads = 0;
+  /// The store answers all open calls once it is no longer silent.
+  bool StoreIsSilent = false;
   std::vector<OpenRead> OpenReads;
   std::map<std::pair<std::string, StoreTable>, Instant> LastRead;
 };
@@ -225,5 +229,17 @@
   EXPECT_LE(EverReading.size(), Hosts.size() / 4);
 }
 
+// Guards against a fleet whose hosts all go on reading although the first of
+// them vouch for the store again.
+TEST_F(FleetGossipStoreTurnsHostsAwayTest, tick_storeIsBack_mostReadOnlyOnce) {
+  TurnedAway.clear();
+  StoreIsSilent = true;
+  follow(3s);
+  StoreIsSilent = false;
+  Reads = 0;
+  follow(3s);
+  EXPECT_LE(Reads, Hosts.size());
+}
+
 } // namespace
 } // namespace mimosacart
