--- a/direct/table_sync.h
+++ b/direct/table_sync.h
@@ -167,7 +167,7 @@
   /// Reads the tables from the store that this host lacks shortly after its
   /// start and cannot get from a peer.
   void readAtStart(Instant Now);
-  /// Requests the rows that this host lacks from a peer.
+  /// Requests the rows that this host lacks from a peer; NewerPeer must be set.
   void requestRows(Instant Now, StoreTable Table, TableState &State);
   void recordNewerVersion(Instant Now, TableState &State, const HostName &From,
                           std::uint64_t Version);
