Read requests that have arrived before a planned stop closes connections

Cause, by tests: the server closed idle connections whose request lay unread in the socket, and with its listening socket those that waited to be accepted.

Change: waiting connections are accepted first; a connection with unread bytes is not idle; one that has not had a request yet is given 300 ms for its first.

Failed before: HttpServerStopTest.stop_connectionNotAcceptedYet_requestIsAnswered, stop_requestNotReadYet_isAnswered, drain_requestNotReadYet_isAnswered.

--- a/net/http_server.cpp
+++ b/net/http_server.cpp
@@ -17,6 +17,9 @@
 /// Pause after a failed accept, which fails again at once while the process has
 /// no file descriptors left.
 constexpr Duration AcceptRetryPause = std::chrono::milliseconds(50);
+/// Time that a stopping server waits for the first request of a connection that
+/// a client has just opened.
+constexpr Duration LastRequestWait = std::chrono::milliseconds(300);
 
 NetError toNetError(const beast::error_code &Error) {
   if (Error == http::error::header_limit)
@@ -51,6 +54,9 @@
   void drain();
   void accept();
   void acceptLater();
+  /// Accepts the connections that wait in the acceptor's queue.
+  void acceptWaiting();
+  void startSession(tcp::socket Socket);
 
   asio::io_context &Context;
   tcp::acceptor Acceptor;
@@ -79,6 +85,8 @@
   Session &operator=(const Session &) = delete;
 
   void start() { waitForRequest(); }
+  /// Closes the connection unless a request is in progress, has arrived but is
+  /// not read yet, or may follow as the first one of the connection.
   void closeIfIdle();
   void respond(HttpResponse Response) override;
   void onGone(std::function<void()> Hook) override {
@@ -104,6 +112,7 @@
   asio::steady_timer ReadTimer;
   bool ReadTimedOut = false;
   bool AwaitingRequest = true;
+  bool HadRequest = false;
   bool AwaitingResponse = false;
   bool KeepAlive = true;
 };
@@ -124,13 +133,25 @@
 }
 
 void Session::closeIfIdle() {
-  if (AwaitingRequest)
+  if (!AwaitingRequest)
+    return;
+  beast::error_code Error;
+  if (Stream.socket().available(Error) > 0)
+    return;
+  if (HadRequest) {
     close();
+    return;
+  }
+  ReadTimer.expires_after(LastRequestWait);
+  ReadTimer.async_wait([Self = shared_from_this()](beast::error_code Failure) {
+    if (!Failure && Self->AwaitingRequest)
+      Self->close();
+  });
 }
 
 void Session::waitForRequest() {
   AwaitingRequest = true;
-  if (Server->Stopping) {
+  if (Server->Stopping && HadRequest) {
     close();
     return;
   }
@@ -139,7 +160,8 @@
     return;
   }
   constexpr std::size_t FirstReadBytes = 4096;
-  Stream.expires_after(Server->Limits.IdleTimeout);
+  Stream.expires_after(Server->Stopping ? LastRequestWait
+                                        : Server->Limits.IdleTimeout);
   Stream.async_read_some(
       Buffer.prepare(FirstReadBytes),
       [Self = shared_from_this()](beast::error_code Error, std::size_t Bytes) {
@@ -154,6 +176,7 @@
 
 void Session::readRequest() {
   AwaitingRequest = false;
+  HadRequest = true;
   Parser.emplace();
   Parser->header_limit(static_cast<std::uint32_t>(Server->Limits.HeaderBytes));
   Parser->body_limit(Server->Limits.BodyBytes);
@@ -297,28 +320,44 @@
 }
 
 void HttpServer::Impl::accept() {
-  Acceptor.async_accept([Self = shared_from_this()](beast::error_code Error,
-                                                    tcp::socket Socket) {
-    if (Self->Stopping || Error == asio::error::operation_aborted)
-      return;
-    if (Error) {
-      Self->acceptLater();
-      return;
-    }
-    beast::error_code Ignored;
-    setConnectionOptions(Socket);
-    const auto Remote = Socket.remote_endpoint(Ignored);
-    const std::string Address =
-        Ignored ? std::string() : Remote.address().to_string();
-    const bool TooMany = Self->Sessions.size() >= Self->Limits.Connections ||
-                         Self->ConnectionsByAddress[Address] >=
-                             Self->Limits.ConnectionsPerAddress;
-    if (TooMany)
-      Socket.close(Ignored);
-    else
-      std::make_shared<Session>(Self, std::move(Socket), Address)->start();
-    Self->accept();
-  });
+  Acceptor.async_accept(
+      [Self = shared_from_this()](beast::error_code Error, tcp::socket Socket) {
+        if (Self->Stopping || Error == asio::error::operation_aborted)
+          return;
+        if (Error) {
+          Self->acceptLater();
+          return;
+        }
+        Self->startSession(std::move(Socket));
+        Self->accept();
+      });
+}
+
+void HttpServer::Impl::startSession(tcp::socket Socket) {
+  beast::error_code Error;
+  setConnectionOptions(Socket);
+  const auto Remote = Socket.remote_endpoint(Error);
+  const std::string Address =
+      Error ? std::string() : Remote.address().to_string();
+  const auto Found = ConnectionsByAddress.find(Address);
+  const std::size_t OfAddress =
+      Found == ConnectionsByAddress.end() ? 0 : Found->second;
+  if (Sessions.size() >= Limits.Connections ||
+      OfAddress >= Limits.ConnectionsPerAddress)
+    return;
+  std::make_shared<Session>(shared_from_this(), std::move(Socket), Address)
+      ->start();
+}
+
+void HttpServer::Impl::acceptWaiting() {
+  beast::error_code Error;
+  Acceptor.non_blocking(true, Error);
+  while (!Error) {
+    tcp::socket Socket(Context);
+    Acceptor.accept(Socket, Error);
+    if (!Error)
+      startSession(std::move(Socket));
+  }
 }
 
 void HttpServer::Impl::acceptLater() {
@@ -333,6 +372,8 @@
   Stopping = true;
   AcceptRetry.cancel();
   beast::error_code Ignored;
+  if (Acceptor.is_open())
+    acceptWaiting();
   Acceptor.close(Ignored);
   const std::unordered_set<Session *> OpenSessions = Sessions;
   for (Session *OpenSession : OpenSessions)
--- a/tests/net/http_server_test.cpp
+++ b/tests/net/http_server_test.cpp
@@ -288,5 +288,96 @@
   EXPECT_GT(Caller.available(Error), 0U);
 }
 
+/// A server that stops while it has not read a request that has arrived. Runs
+/// in the thread of the test.
+class HttpServerStopTest : public testing::Test {
+protected:
+  HttpServerStopTest()
+      : Server(
+            Context, {},
+            [](const HttpRequest &,
+               const std::shared_ptr<HttpExchange> &Exchange) {
+              Exchange->respond({200, {}, "served"});
+            },
+            toRefusal),
+        Caller(Context) {
+    for (unsigned Port = 9'900; Port < 9'990; ++Port) {
+      const std::string Address = fmt::format("127.0.0.1:{}", Port);
+      if (!Server.listen(Address).has_value())
+        continue;
+      Caller.connect(*parseEndpoint(Address));
+      break;
+    }
+  }
+
+  void sendRequest() {
+    asio::write(Caller, asio::buffer(std::string_view(
+                            "GET / HTTP/1.1\r\nHost: a\r\n\r\n")));
+  }
+  /// Runs the server and returns what the caller got, up to the end of its
+  /// connection.
+  std::string runAndRead() {
+    Context.restart();
+    Context.run_for(700ms);
+    std::string Text;
+    boost::system::error_code Error;
+    Caller.non_blocking(true);
+    asio::read(Caller, asio::dynamic_buffer(Text), Error);
+    IsClosed = Error == asio::error::eof;
+    return Text;
+  }
+
+  asio::io_context Context;
+  HttpServer Server;
+  tcp::socket Caller;
+  bool IsClosed = false;
+};
+
+// Guards against a planned stop that cuts requests that have just arrived.
+TEST_F(HttpServerStopTest, stop_connectionNotAcceptedYet_requestIsAnswered) {
+  sendRequest();
+  Server.stop();
+  EXPECT_NE(runAndRead().find("served"), std::string::npos);
+  EXPECT_TRUE(IsClosed);
+}
+
+TEST_F(HttpServerStopTest, stop_requestNotReadYet_isAnswered) {
+  Context.run_for(50ms);
+  sendRequest();
+  Server.stop();
+  EXPECT_NE(runAndRead().find("served"), std::string::npos);
+  EXPECT_TRUE(IsClosed);
+}
+
+TEST_F(HttpServerStopTest, drain_requestNotReadYet_isAnswered) {
+  Context.run_for(50ms);
+  sendRequest();
+  Context.run_for(50ms);
+  sendRequest();
+  Server.drain();
+  const std::string Answers = runAndRead();
+  const std::size_t First = Answers.find("served");
+  EXPECT_NE(Answers.find("served", First + 1), std::string::npos);
+  EXPECT_TRUE(IsClosed);
+}
+
+TEST_F(HttpServerStopTest, stop_connectionIdle_isClosed) {
+  Context.run_for(50ms);
+  sendRequest();
+  Context.run_for(50ms);
+  Server.stop();
+  EXPECT_NE(runAndRead().find("served"), std::string::npos);
+  EXPECT_TRUE(IsClosed);
+  EXPECT_EQ(Server.connections(), 0U);
+}
+
+TEST_F(HttpServerStopTest, stop_noRequestFollows_connectionIsClosedSoon) {
+  Context.run_for(50ms);
+  Server.stop();
+  EXPECT_EQ(runAndRead(), "");
+  EXPECT_TRUE(IsClosed);
+  EXPECT_EQ(Server.connections(), 0U);
+}
+
 } // namespace
 } // namespace mimosacart
