End only the exchange of a message on which the HTTP library throws

Cause: Beast 1.74 stores fields with 16 bit lengths and throws std::length_error for a longer one while it parses. http::async_read() parses in a handler of the library, so the exception left io_context::run(). The same holds for every throw in that handler, and for what we let the library make of a message that another process chose: a body declared longer than memory (std::bad_alloc, std::length_error), a TRACE request with a body, a 204 with a body, a status over 999, a long field that is passed on (std::invalid_argument, std::length_error), and a configured header limit near the largest number (the buffer's limit overflowed).

Change: MessageReader calls the parser in a handler of ours and returns what it throws as an error; Session and ClientCall read through it. Messages that cannot be written end their exchange too (502, or a broken call). The reason goes to the log as message_invalid. Lines and trailers of chunked bodies are limited like headers, in place of 128 KB. Trailer fields no longer count as header fields (RFC 9110, section 6.5.1): a trailer could add an X-Request-Id.

--- a/daemon/direct_host_process.cpp
+++ b/daemon/direct_host_process.cpp
@@ -120,8 +120,10 @@
     : Context(IoContext), Settings(std::move(InitialSettings)),
       OnStopped(std::move(StopHandler)), Incarnation(makeIncarnation()),
       Log(Settings.Name.value(), parseLogLevel(Settings.LogLevel)),
-      ServerHttp(IoContext, MaxAnswerBytes, MaxBufferedAnswerBytes),
-      StoreHttp(IoContext, MaxAnswerBytes),
+      ServerHttp(IoContext, MaxAnswerBytes, MaxBufferedAnswerBytes,
+                 makeInvalidMessageHook("server")),
+      StoreHttp(IoContext, MaxAnswerBytes, MaxAnswerBytes,
+                makeInvalidMessageHook("store")),
       Store(StoreHttp, Settings.PlatformAddress, StoreTimeout),
       CrashRecordRows(Store, Log, makeCrashRecordHooks()),
       HostRegistration(Store, Log, Settings.Name.value(), Settings.PeerAddress),
@@ -136,28 +138,28 @@
           [this](HttpRequest Request, std::shared_ptr<HttpExchange> Exchange) {
             onCallerRequest(std::move(Request), std::move(Exchange));
           },
-          writeRequestError),
+          writeRequestError, makeInvalidMessageHook("caller")),
       DirectoryEndpoint(
           IoContext, {},
           [this](const HttpRequest &Request,
                  const std::shared_ptr<HttpExchange> &Exchange) {
             onDirectoryRequest(Request, *Exchange);
           },
-          writeRequestError),
+          writeRequestError, makeInvalidMessageHook("directory")),
       ReadinessEndpoint(
           IoContext, {},
           [this](const HttpRequest & /*Request*/,
                  const std::shared_ptr<HttpExchange> &Exchange) {
             onReadinessRequest(*Exchange);
           },
-          writeRequestError),
+          writeRequestError, makeInvalidMessageHook("readiness")),
       AdminEndpoint(
           IoContext, {},
           [this](const HttpRequest &Request,
                  const std::shared_ptr<HttpExchange> &Exchange) {
             onAdminRequest(Request, *Exchange);
           },
-          writeRequestError),
+          writeRequestError, makeInvalidMessageHook("admin")),
       HostTimers(std::make_unique<Timers>(IoContext)) {}
 
 DirectHostProcess::~DirectHostProcess() = default;
@@ -217,6 +219,13 @@
   return Result;
 }
 
+InvalidMessageHook DirectHostProcess::makeInvalidMessageHook(const char *From) {
+  return [this, From](const std::string &Peer, const MessageError &Error) {
+    Log.error("message_invalid",
+              {{"from", From}, {"peer", Peer}, {"why", Error.Reason}});
+  };
+}
+
 TableFollower::Hooks DirectHostProcess::makeFollowerHooks(StoreTable Table) {
   TableFollower::Hooks Result;
   Result.TableRead = [this, Table](const std::vector<TableRow> &Rows,
--- a/daemon/entry_host_process.cpp
+++ b/daemon/entry_host_process.cpp
@@ -19,6 +19,9 @@
 constexpr std::size_t TraceCapacity = 20'000;
 /// Largest answer read from a backend server or the platform.
 constexpr std::size_t MaxAnswerBytes = 16U << 20U;
+/// Answers of backend servers, or of the platform, that are read at the same
+/// time, in bytes.
+constexpr std::size_t MaxBufferedAnswerBytes = 96U << 20U;
 /// Longest idle time after which a connection is reused for an idempotent
 /// request. Other requests always open a new connection.
 constexpr Duration MaxConnectionIdle = std::chrono::seconds(30);
@@ -92,8 +95,10 @@
       Log(Settings.Name.value(), parseLogLevel(Settings.LogLevel)),
       Ids(Incarnation.value()), Traces(TraceCapacity),
       Core(now(), makeNodeSettings(Settings, Incarnation)),
-      ServerHttp(IoContext, MaxAnswerBytes),
-      PlatformHttp(IoContext, MaxAnswerBytes),
+      ServerHttp(IoContext, MaxAnswerBytes, MaxBufferedAnswerBytes,
+                 makeInvalidMessageHook("server")),
+      PlatformHttp(IoContext, MaxAnswerBytes, MaxBufferedAnswerBytes,
+                   makeInvalidMessageHook("platform")),
       Platform(PlatformHttp, Settings.PlatformAddress,
                Settings.PlatformTimeout),
       Archive(Platform),
@@ -117,14 +122,14 @@
           [this](HttpRequest Request, std::shared_ptr<HttpExchange> Exchange) {
             onCallerRequest(std::move(Request), std::move(Exchange));
           },
-          toRefusal),
+          toRefusal, makeInvalidMessageHook("caller")),
       AdminEndpoint(
           IoContext, {},
           [this](const HttpRequest &Request,
                  const std::shared_ptr<HttpExchange> &Exchange) {
             onAdminRequest(Request, *Exchange);
           },
-          toRefusal),
+          toRefusal, makeInvalidMessageHook("admin")),
       TickTimer(std::make_unique<Timer>(IoContext)) {}
 
 EntryHostProcess::~EntryHostProcess() = default;
@@ -148,6 +153,13 @@
   return boost::outcome_v2::success();
 }
 
+InvalidMessageHook EntryHostProcess::makeInvalidMessageHook(const char *From) {
+  return [this, From](const std::string &Peer, const MessageError &Error) {
+    Log.error("message_invalid",
+              {{"from", From}, {"peer", Peer}, {"why", Error.Reason}});
+  };
+}
+
 void EntryHostProcess::stop() {
   Core.onStop(now());
   runActions();
--- a/net/http_client.cpp
+++ b/net/http_client.cpp
@@ -1,6 +1,6 @@
 #include "net/http_client.h"
 
-#include "net/asio.h"
+#include "net/message_reader.h"
 
 #include <deque>
 #include <unordered_map>
@@ -12,9 +12,8 @@
 constexpr unsigned HttpVersion11 = 11;
 /// Maximum number of idle connections kept per address.
 constexpr std::size_t MaxIdleConnections = 64;
-/// Maximum number of bytes received but not yet parsed. Bounds the lines of a
-/// chunked body, which the parser does not limit.
-constexpr std::size_t MaxUnparsedBytes = 128U << 10U;
+/// Limit on the header of a response.
+constexpr std::size_t MaxHeaderBytes = 8U << 10U;
 /// Maximum number of responses that a call drops because they belong to others.
 constexpr unsigned MaxDroppedResponses = 16;
 constexpr unsigned FirstFinalStatus = 200;
@@ -29,9 +28,10 @@
 class HttpClient::Impl {
 public:
   Impl(asio::io_context &Context, std::size_t MaxBodyBytes,
-       std::size_t MaxBufferedBytes)
+       std::size_t MaxBufferedBytes, InvalidMessageHook ReportInvalid)
       : Context(Context), MaxBodyBytes(MaxBodyBytes),
-        MaxBufferedBytes(MaxBufferedBytes) {}
+        MaxBufferedBytes(MaxBufferedBytes),
+        ReportInvalid(std::move(ReportInvalid)) {}
 
   /// Takes the most recently used connection to \p Address that is still open
   /// and was idle for at most \p MaxIdle; null if there is none.
@@ -44,6 +44,7 @@
   asio::io_context &Context;
   const std::size_t MaxBodyBytes;
   const std::size_t MaxBufferedBytes;
+  const InvalidMessageHook ReportInvalid;
   /// Body bytes of all responses that are being read.
   std::size_t BufferedBytes = 0;
   std::unordered_map<std::string, std::deque<IdleConnection>> Idle;
@@ -98,21 +99,25 @@
 private:
   void connect(HttpClient::Impl &Pool);
   void exchange();
+  /// Makes the message for write(). Throws if the request cannot be written.
+  void makeOutgoing();
   void write();
   void onWritten(const beast::error_code &Error);
-  void read();
-  void onHeader(const beast::error_code &Error);
-  void readBody();
-  void onBodyPart(const beast::error_code &Error);
-  void onRead();
+  void startResponse();
+  void readMore();
+  void onRead(const beast::error_code &Error, std::size_t Bytes);
+  /// Continues after bytes of the response have been parsed.
+  void onParsed(const std::optional<MessageError> &Invalid);
+  void onComplete();
   /// Adds the body bytes read so far to the client's; returns whether they
   /// exceed its limit.
   bool countBytes();
   void releaseBytes();
   void onResponse(HttpResponse Response, bool KeepAlive);
-  bool isTooLong() const;
   void finish(HttpResult Result);
-  void fail(const beast::error_code &Error, NetError Default);
+  /// Reports an invalid message and ends the call as soon as its handle has
+  /// been returned.
+  void fail(const MessageError &Error);
 
   std::weak_ptr<HttpClient::Impl> Client;
   HttpCall Call;
@@ -121,11 +126,11 @@
   std::unique_ptr<beast::tcp_stream> Stream;
   http::request<http::string_body> Outgoing;
   bool RequestWritten = false;
-  beast::flat_buffer Buffer{MaxUnparsedBytes};
+  beast::flat_buffer Buffer;
   /// Body bytes of the current response that are counted in the client.
   std::size_t CountedBytes = 0;
   unsigned DroppedResponses = 0;
-  std::optional<http::response_parser<http::string_body>> Parser;
+  std::optional<MessageReader<false>> Reader;
 };
 
 void ClientCall::start() {
@@ -169,11 +174,17 @@
 /// request is completely written.
 void ClientCall::exchange() {
   Stream->expires_at(Deadline);
+  try {
+    makeOutgoing();
+  } catch (const std::exception &Thrown) {
+    fail({NetError::Malformed, Thrown.what()});
+    return;
+  }
   write();
-  read();
+  startResponse();
 }
 
-void ClientCall::write() {
+void ClientCall::makeOutgoing() {
   Outgoing.version(HttpVersion11);
   Outgoing.method_string(Call.Request.Method);
   Outgoing.target(Call.Request.Target);
@@ -183,6 +194,9 @@
   Outgoing.body() = std::move(Call.Request.Body);
   Outgoing.keep_alive(true);
   Outgoing.prepare_payload();
+}
+
+void ClientCall::write() {
   http::async_write(*Stream, Outgoing,
                     [Self = shared_from_this()](beast::error_code Error,
                                                 std::size_t /*Bytes*/) {
@@ -196,75 +210,54 @@
   RequestWritten = !Error;
 }
 
-void ClientCall::read() {
+void ClientCall::startResponse() {
   const auto Pool = Client.lock();
   if (!Pool)
     return;
-  Parser.emplace();
-  Parser->body_limit(Pool->MaxBodyBytes);
-  if (Call.Request.Method == "HEAD")
-    Parser->skip(true);
-  http::async_read_header(*Stream, Buffer, *Parser,
-                          [Self = shared_from_this()](beast::error_code Error,
-                                                      std::size_t /*Bytes*/) {
-                            if (Self->Done)
-                              Self->onHeader(Error);
-                          });
+  Reader.emplace(Buffer, MessageLimits{MaxHeaderBytes, Pool->MaxBodyBytes},
+                 Call.Request.Method == "HEAD");
+  if (Buffer.size() > 0)
+    onParsed(Reader->parse(0));
+  else
+    readMore();
 }
 
-/// Beast 1.74 does not check the declared length of a response against the body
-/// limit.
-bool ClientCall::isTooLong() const {
-  const auto Pool = Client.lock();
-  const auto Length = Parser->content_length();
-  const bool HasBody = Call.Request.Method != "HEAD";
-  return !Pool || (HasBody && Length && *Length > Pool->MaxBodyBytes);
+void ClientCall::readMore() {
+  Stream->async_read_some(
+      Reader->prepare(),
+      [Self = shared_from_this()](beast::error_code Error, std::size_t Bytes) {
+        if (Self->Done)
+          Self->onRead(Error, Bytes);
+      });
 }
 
-void ClientCall::onHeader(const beast::error_code &Error) {
-  if (Error) {
-    fail(Error, NetError::Broken);
-    return;
-  }
-  if (isTooLong()) {
+void ClientCall::onRead(const beast::error_code &Error, std::size_t Bytes) {
+  if (Error == asio::error::eof)
+    onParsed(Reader->parseEnd());
+  else if (Error == beast::error::timeout)
+    finish(make_error_code(NetError::TimedOut));
+  else if (Error)
     finish(make_error_code(NetError::Broken));
-    return;
-  }
-  if (Parser->is_done())
-    onRead();
   else
-    readBody();
-}
-
-void ClientCall::readBody() {
-  http::async_read_some(*Stream, Buffer, *Parser,
-                        [Self = shared_from_this()](beast::error_code Error,
-                                                    std::size_t /*Bytes*/) {
-                          if (Self->Done)
-                            Self->onBodyPart(Error);
-                        });
+    onParsed(Reader->parse(Bytes));
 }
 
-void ClientCall::onBodyPart(const beast::error_code &Error) {
-  if (Error) {
-    fail(Error, NetError::Broken);
-    return;
-  }
-  if (countBytes()) {
-    finish(make_error_code(NetError::Broken));
-    return;
-  }
-  if (Parser->is_done())
-    onRead();
+void ClientCall::onParsed(const std::optional<MessageError> &Invalid) {
+  if (Invalid)
+    fail(*Invalid);
+  else if (countBytes())
+    fail({NetError::BodyTooLarge, "the responses together are too large"});
+  else if (Reader->isDone())
+    onComplete();
   else
-    readBody();
+    readMore();
 }
 
 bool ClientCall::countBytes() {
   const auto Pool = Client.lock();
   if (!Pool)
     return true;
-  const std::size_t Size = Parser->get().body().size();
+  const std::size_t Size = Reader->message().body().size();
   Pool->BufferedBytes += Size - CountedBytes;
   CountedBytes = Size;
   return Pool->BufferedBytes > Pool->MaxBufferedBytes;
@@ -276,8 +269,8 @@
   CountedBytes = 0;
 }
 
-void ClientCall::onRead() {
-  auto Message = Parser->release();
+void ClientCall::onComplete() {
+  const auto &Message = Reader->message();
   // Beast's need_eof() is also true for a response with a length that closes
   // the connection.
   const bool HasLength = Message.has_content_length() || Message.chunked();
@@ -287,10 +280,9 @@
     finish(make_error_code(NetError::Malformed));
     return;
   }
-  const bool KeepAlive = Message.keep_alive() && !EndsWithConnection;
-  onResponse(
-      {Message.result_int(), copyFields(Message), std::move(Message.body())},
-      KeepAlive);
+  const bool KeepAlive = Reader->keepAlive() && !EndsWithConnection;
+  onResponse({Message.result_int(), Reader->takeFields(), Reader->takeBody()},
+             KeepAlive);
 }
 
 void ClientCall::onResponse(HttpResponse Response, bool KeepAlive) {
@@ -300,7 +292,7 @@
   if (Dropped) {
     releaseBytes();
     if (KeepAlive && ++DroppedResponses <= MaxDroppedResponses)
-      read();
+      startResponse();
     else
       finish(make_error_code(NetError::Broken));
     return;
@@ -320,9 +312,15 @@
   finish(std::move(Response));
 }
 
-void ClientCall::fail(const beast::error_code &Error, NetError Default) {
-  const bool TimedOut = Error == beast::error::timeout;
-  finish(make_error_code(TimedOut ? NetError::TimedOut : Default));
+void ClientCall::fail(const MessageError &Error) {
+  const auto Pool = Client.lock();
+  if (!Pool)
+    return;
+  if (Pool->ReportInvalid && Error.Kind != NetError::Broken)
+    Pool->ReportInvalid(Call.Address, Error);
+  asio::post(Pool->Context, [Self = shared_from_this()] {
+    Self->finish(make_error_code(NetError::Broken));
+  });
 }
 
 void ClientCall::finish(HttpResult Result) {
@@ -346,8 +344,10 @@
 } // namespace
 
 HttpClient::HttpClient(asio::io_context &Context, std::size_t MaxBodyBytes,
-                       std::size_t MaxBufferedBytes)
-    : Shared(std::make_shared<Impl>(Context, MaxBodyBytes, MaxBufferedBytes)) {}
+                       std::size_t MaxBufferedBytes,
+                       InvalidMessageHook ReportInvalid)
+    : Shared(std::make_shared<Impl>(Context, MaxBodyBytes, MaxBufferedBytes,
+                                    std::move(ReportInvalid))) {}
 
 HttpClient::~HttpClient() = default;
 
--- a/net/http_client.h
+++ b/net/http_client.h
@@ -60,10 +60,11 @@
 
   /// \p MaxBodyBytes limits the body of a response, \p MaxBufferedBytes those
   /// of all responses that are being read. A call that exceeds either is
-  /// broken.
+  /// broken. \p ReportInvalid may be empty.
   HttpClient(
       boost::asio::io_context &Context, std::size_t MaxBodyBytes,
-      std::size_t MaxBufferedBytes = std::numeric_limits<std::size_t>::max());
+      std::size_t MaxBufferedBytes = std::numeric_limits<std::size_t>::max(),
+      InvalidMessageHook ReportInvalid = {});
   ~HttpClient();
   HttpClient(const HttpClient &) = delete;
   HttpClient &operator=(const HttpClient &) = delete;
--- a/net/http_message.h
+++ b/net/http_message.h
@@ -5,6 +5,7 @@
 #include "core/request.h"
 
 #include <cstdint>
+#include <functional>
 #include <string>
 #include <string_view>
 #include <system_error>
@@ -52,6 +53,20 @@
   BadAddress,
 };
 
+/// Why a message could not be read or written.
+struct MessageError {
+  NetError Kind;
+  /// For the log.
+  std::string Reason;
+
+  friend bool operator==(const MessageError &, const MessageError &) = default;
+};
+
+/// Called with the address of the peer for each message that ends its exchange
+/// because the message is invalid, not because its connection failed.
+using InvalidMessageHook =
+    std::function<void(const std::string &Peer, const MessageError &)>;
+
 /// Category of NetError.
 const std::error_category &netCategory();
 std::error_code make_error_code(NetError Error); // NOLINT: found by ADL.
--- a/net/http_server.cpp
+++ b/net/http_server.cpp
@@ -1,8 +1,9 @@
 #include "net/http_server.h"
 
-#include "net/asio.h"
+#include "core/text.h"
+#include "net/message_reader.h"
 
-#include <list>
+#include <algorithm>
 #include <unordered_map>
 #include <unordered_set>
 
@@ -11,9 +12,8 @@
 namespace {
 
 constexpr unsigned HttpVersion11 = 11;
-/// Maximum number of body bytes received but not yet parsed. Bounds the lines
-/// of a chunked body, which the parser does not limit.
-constexpr std::size_t MaxUnparsedBodyBytes = 128U << 10U;
+/// Status in place of a response that cannot be written.
+constexpr unsigned StatusBadGateway = 502;
 /// Pause after a failed accept, which fails again at once while the process has
 /// no file descriptors left.
 constexpr Duration AcceptRetryPause = std::chrono::milliseconds(50);
@@ -21,20 +21,21 @@
 /// a client has just opened.
 constexpr Duration LastRequestWait = std::chrono::milliseconds(300);
 
-NetError toNetError(const beast::error_code &Error) {
-  if (Error == http::error::header_limit)
-    return NetError::HeaderTooLarge;
-  if (Error == http::error::body_limit)
-    return NetError::BodyTooLarge;
-  return NetError::Malformed;
-}
-
-/// Whether the client closed or reset the connection, or the read was
-/// cancelled.
-bool isConnectionEnd(const beast::error_code &Error) {
-  return Error == http::error::end_of_stream ||
-         Error == asio::error::operation_aborted ||
-         Error == asio::error::connection_reset || Error == asio::error::eof;
+/// Checks what the parser leaves to its users.
+std::optional<MessageError> checkRequest(const HttpRequest &Request) {
+  const auto HostFields =
+      std::count_if(Request.Headers.begin(), Request.Headers.end(),
+                    [](const HeaderField &Field) {
+                      return equalsIgnoringCase(Field.Name, "Host");
+                    });
+  // HTTP/1.1 allows only one Host field; several may be a request smuggling
+  // attempt.
+  if (HostFields > 1)
+    return MessageError{NetError::Malformed, "several Host fields"};
+  // RFC 9110, section 9.3.8; such a request could not be forwarded.
+  if (Request.Method == "TRACE" && !Request.Body.empty())
+    return MessageError{NetError::Malformed, "a TRACE request has a body"};
+  return std::nullopt;
 }
 
 class Session;
@@ -44,9 +45,10 @@
 class HttpServer::Impl : public std::enable_shared_from_this<Impl> {
 public:
   Impl(asio::io_context &Context, HttpServerLimits Limits, Handler Handle,
-       RefusalHook Refuse)
+       RefusalHook Refuse, InvalidMessageHook ReportInvalid)
       : Context(Context), Acceptor(Context), AcceptRetry(Context),
-        Limits(Limits), Handle(std::move(Handle)), Refuse(std::move(Refuse)) {}
+        Limits(Limits), Handle(std::move(Handle)), Refuse(std::move(Refuse)),
+        ReportInvalid(std::move(ReportInvalid)) {}
 
   boost::outcome_v2::result<void, std::error_code>
   listen(const std::string &Address);
@@ -64,6 +66,7 @@
   HttpServerLimits Limits;
   const Handler Handle;
   const RefusalHook Refuse;
+  const InvalidMessageHook ReportInvalid;
   /// No connection is accepted, and open ones are closed after their response.
   bool Stopping = false;
   /// Connections are closed after their next response.
@@ -96,17 +99,27 @@
 private:
   void waitForRequest();
   void readRequest();
-  void onRequest(const beast::error_code &Error);
+  void readMore();
+  void onRead(const beast::error_code &Error, std::size_t Bytes);
+  /// Continues after bytes of the request have been parsed.
+  void onParsed(const std::optional<MessageError> &Invalid);
+  void onRequest();
   void watchForClose();
-  void refuse(NetError Error);
+  void refuse(const MessageError &Error);
+  void reportInvalid(const MessageError &Error) const {
+    if (Server->ReportInvalid)
+      Server->ReportInvalid(RemoteAddress, Error);
+  }
   void write(HttpResponse Response, bool StayOpen);
+  /// Makes the message for write(). Throws if the response cannot be written.
+  void makeOutgoing(HttpResponse Response, bool StayOpen);
   void close();
 
   std::shared_ptr<HttpServer::Impl> Server;
   beast::tcp_stream Stream;
   const std::string RemoteAddress;
   beast::flat_buffer Buffer;
-  std::optional<http::request_parser<http::string_body>> Parser;
+  std::optional<MessageReader<true>> Reader;
   http::response<http::string_body> Outgoing;
   std::function<void()> GoneHook;
   asio::steady_timer ReadTimer;
@@ -177,10 +190,8 @@
 void Session::readRequest() {
   AwaitingRequest = false;
   HadRequest = true;
-  Parser.emplace();
-  Parser->header_limit(static_cast<std::uint32_t>(Server->Limits.HeaderBytes));
-  Parser->body_limit(Server->Limits.BodyBytes);
-  Buffer.max_size(Server->Limits.HeaderBytes + MaxUnparsedBodyBytes);
+  Reader.emplace(Buffer, MessageLimits{Server->Limits.HeaderBytes,
+                                       Server->Limits.BodyBytes});
   // A timer is used because the stream's own timeout would close the stream
   // before the refusal is sent.
   Stream.expires_never();
@@ -191,42 +202,64 @@
     Self->ReadTimedOut = true;
     Self->Stream.cancel();
   });
-  http::async_read(Stream, Buffer, *Parser,
-                   [Self = shared_from_this()](beast::error_code Error,
-                                               std::size_t /*Bytes*/) {
-                     Self->onRequest(Error);
-                   });
+  if (Buffer.size() > 0)
+    onParsed(Reader->parse(0));
+  else
+    readMore();
 }
 
-void Session::onRequest(const beast::error_code &Error) {
-  ReadTimer.cancel();
+void Session::readMore() {
+  Stream.async_read_some(
+      Reader->prepare(),
+      [Self = shared_from_this()](beast::error_code Error, std::size_t Bytes) {
+        Self->onRead(Error, Bytes);
+      });
+}
+
+void Session::onRead(const beast::error_code &Error, std::size_t Bytes) {
   if (Error && ReadTimedOut) {
-    refuse(NetError::TimedOut);
+    refuse({NetError::TimedOut, "the request is not complete in time"});
     return;
   }
-  if (Error && isConnectionEnd(Error)) {
+  if (Error) {
+    ReadTimer.cancel();
     close();
     return;
   }
-  if (Error) {
-    refuse(toNetError(Error));
+  onParsed(Reader->parse(Bytes));
+}
+
+void Session::onParsed(const std::optional<MessageError> &Invalid) {
+  if (!Invalid && !Reader->isDone()) {
+    readMore();
     return;
   }
-  const auto &Message = Parser->get();
-  // HTTP/1.1 allows only one Host field; several may be a request smuggling
-  // attempt.
-  if (Message.count(http::field::host) > 1) {
-    refuse(NetError::Malformed);
+  ReadTimer.cancel();
+  if (Invalid)
+    refuse(*Invalid);
+  else
+    onRequest();
+}
+
+void Session::onRequest() {
+  const auto &Message = Reader->message();
+  HttpRequest Request{std::string(Message.method_string()),
+                      std::string(Message.target()), Reader->takeFields(),
+                      Reader->takeBody(), RemoteAddress};
+  if (const auto Invalid = checkRequest(Request)) {
+    refuse(*Invalid);
     return;
   }
-  KeepAlive = Message.keep_alive();
+  KeepAlive = Reader->keepAlive();
   AwaitingResponse = true;
   Stream.expires_never();
-  HttpRequest Request{std::string(Message.method_string()),
-                      std::string(Message.target()), copyFields(Message),
-                      Message.body(), RemoteAddress};
   watchForClose();
-  Server->Handle(std::move(Request), shared_from_this());
+  try {
+    Server->Handle(std::move(Request), shared_from_this());
+  } catch (const std::exception &Thrown) {
+    reportInvalid({NetError::Malformed, Thrown.what()});
+    respond({StatusBadGateway, {}, ""});
+  }
 }
 
 void Session::watchForClose() {
@@ -261,11 +294,12 @@
         KeepAlive && !Server->Stopping && !Server->Draining);
 }
 
-void Session::refuse(NetError Error) { write(Server->Refuse(Error), false); }
+void Session::refuse(const MessageError &Error) {
+  reportInvalid(Error);
+  write(Server->Refuse(Error.Kind), false);
+}
 
-void Session::write(HttpResponse Response, bool StayOpen) {
-  const bool IsHead = Parser && Parser->is_header_done() &&
-                      Parser->get().method() == http::verb::head;
+void Session::makeOutgoing(HttpResponse Response, bool StayOpen) {
   Outgoing = {};
   Outgoing.version(HttpVersion11);
   Outgoing.result(Response.Status);
@@ -274,8 +308,17 @@
   Outgoing.keep_alive(StayOpen);
   Outgoing.prepare_payload();
   // A response to HEAD keeps its Content-Length, but has no body.
-  if (IsHead)
+  if (Reader->message().method() == http::verb::head)
     Outgoing.body().clear();
+}
+
+void Session::write(HttpResponse Response, bool StayOpen) {
+  try {
+    makeOutgoing(std::move(Response), StayOpen);
+  } catch (const std::exception &Thrown) {
+    reportInvalid({NetError::Malformed, Thrown.what()});
+    makeOutgoing({StatusBadGateway, {}, ""}, StayOpen);
+  }
   Stream.expires_after(Server->Limits.ReadTimeout);
   http::async_write(Stream, Outgoing,
                     [Self = shared_from_this(),
@@ -388,9 +431,11 @@
 }
 
 HttpServer::HttpServer(asio::io_context &Context, HttpServerLimits Limits,
-                       Handler Handle, RefusalHook Refuse)
+                       Handler Handle, RefusalHook Refuse,
+                       InvalidMessageHook ReportInvalid)
     : Shared(std::make_shared<Impl>(Context, Limits, std::move(Handle),
-                                    std::move(Refuse))) {}
+                                    std::move(Refuse),
+                                    std::move(ReportInvalid))) {}
 
 HttpServer::~HttpServer() { Shared->stop(); }
 
--- a/net/http_server.h
+++ b/net/http_server.h
@@ -52,8 +52,10 @@
   /// Builds the response to a request that could not be read.
   using RefusalHook = std::function<HttpResponse(NetError)>;
 
+  /// \p ReportInvalid may be empty.
   HttpServer(boost::asio::io_context &Context, HttpServerLimits Limits,
-             Handler Handle, RefusalHook Refuse);
+             Handler Handle, RefusalHook Refuse,
+             InvalidMessageHook ReportInvalid = {});
   ~HttpServer();
   HttpServer(const HttpServer &) = delete;
   HttpServer &operator=(const HttpServer &) = delete;
