Drop only the message to a peer whose address ZeroMQ throws on

What callers would see: a host row of the store, or a member that a peer tells of, with an address that is none ends every host that sends to it (zmq::error_t "Invalid argument"); so does a fleet with more peers than the library has sockets ("Too many open files").

Cause: PeerTransport::findOrConnect() used the library's throwing calls on an address that another process chose; receiving and sending may throw too, if a signal interrupts them.

Change: an address that is not an IP address and port, or that the library refuses, is reported as peer_address_unusable, and only its message is dropped. Interrupted calls are repeated or count as not sent.

--- a/daemon/direct_host_process.cpp
+++ b/daemon/direct_host_process.cpp
@@ -127,7 +127,12 @@
       Store(StoreHttp, Settings.PlatformAddress, StoreTimeout),
       CrashRecordRows(Store, Log, makeCrashRecordHooks()),
       HostRegistration(Store, Log, Settings.Name.value(), Settings.PeerAddress),
-      Peers(IoContext, [this](std::string_view Bytes) { onPeerBytes(Bytes); }),
+      Peers(
+          IoContext, [this](std::string_view Bytes) { onPeerBytes(Bytes); },
+          [this](const std::string &Address, const std::string &Why) {
+            Log.error("peer_address_unusable",
+                      {{"address", Address}, {"why", Why}});
+          }),
       Core(now(), makeNodeSettings(Settings, Incarnation), makeCoreHooks()),
       RouteFollower(IoContext, Store, RoutesTableName, Log,
                     makeFollowerHooks(StoreTable::Routes)),
--- a/daemon/entry_host_process.cpp
+++ b/daemon/entry_host_process.cpp
@@ -116,7 +116,12 @@
                                  Hosts.LeavingServers);
                  runActions();
                }}),
-      Peers(IoContext, [this](std::string_view Bytes) { onPeerBytes(Bytes); }),
+      Peers(
+          IoContext, [this](std::string_view Bytes) { onPeerBytes(Bytes); },
+          [this](const std::string &Address, const std::string &Why) {
+            Log.error("peer_address_unusable",
+                      {{"address", Address}, {"why", Why}});
+          }),
       CallerEndpoint(
           IoContext, toServerLimits(Settings.Limits),
           [this](HttpRequest Request, std::shared_ptr<HttpExchange> Exchange) {
--- a/net/peer_transport.cpp
+++ b/net/peer_transport.cpp
@@ -2,6 +2,7 @@
 
 #include "net/asio.h"
 
+#include <cerrno>
 #include <chrono>
 #include <deque>
 #include <string>
@@ -49,8 +50,10 @@
 
 class PeerTransport::Impl {
 public:
-  Impl(asio::io_context &Io, ReceiveHook HandleMessage)
-      : Io(Io), HandleMessage(std::move(HandleMessage)), Context(1),
+  Impl(asio::io_context &Io, ReceiveHook HandleMessage,
+       BadAddressHook ReportBadAddress)
+      : Io(Io), HandleMessage(std::move(HandleMessage)),
+        ReportBadAddress(std::move(ReportBadAddress)), Context(1),
         Inbound(Context, zmq::socket_type::pull), Readable(Io), RetryTimer(Io) {
   }
 
@@ -78,7 +81,12 @@
   void send(const std::string &Address, std::string_view Bytes) {
     const SteadyTime Now = std::chrono::steady_clock::now();
     closeUnusedSockets(Now);
-    OutboundPeer &Peer = findOrConnect(Address, Now);
+    OutboundPeer *Found = findOrConnect(Address, Now);
+    if (Found == nullptr) {
+      ++Counters.MessagesNotSent;
+      return;
+    }
+    OutboundPeer &Peer = *Found;
     Peer.UsedAt = Now;
     if (Peer.WaitingMessages.empty() && trySend(Peer, Bytes))
       return;
@@ -95,9 +103,14 @@
 
 private:
   bool trySend(OutboundPeer &Peer, std::string_view Bytes) {
-    if (!Peer.Socket.send(zmq::buffer(Bytes.data(), Bytes.size()),
-                          zmq::send_flags::dontwait))
+    try {
+      if (!Peer.Socket.send(zmq::buffer(Bytes.data(), Bytes.size()),
+                            zmq::send_flags::dontwait))
+        return false;
+    } catch (const zmq::error_t &) {
+      // For example interrupted by a signal.
       return false;
+    }
     ++Counters.MessagesSent;
     Counters.BytesSent += Bytes.size();
     return true;
@@ -140,10 +153,35 @@
     });
   }
 
-  OutboundPeer &findOrConnect(const std::string &Address, SteadyTime Now) {
+  /// Returns null if \p Address cannot be used.
+  OutboundPeer *findOrConnect(const std::string &Address, SteadyTime Now) {
     const auto Found = Outbound.find(Address);
     if (Found != Outbound.end())
-      return Found->second;
+      return &Found->second;
+    // ZeroMQ would look up names and accepts addresses that cannot be reached.
+    const auto Endpoint = parseEndpoint(Address);
+    if (!Endpoint || Endpoint->port() == 0) {
+      reportBadAddress(Address, "not an IP address and port");
+      return nullptr;
+    }
+    try {
+      return &Outbound
+                  .emplace(Address,
+                           OutboundPeer{connect(Address), Now, Now, {}})
+                  .first->second;
+    } catch (const zmq::error_t &Error) {
+      reportBadAddress(Address, Error.what());
+      return nullptr;
+    }
+  }
+
+  void reportBadAddress(const std::string &Address, const std::string &Why) {
+    if (ReportBadAddress)
+      ReportBadAddress(Address, Why);
+  }
+
+  /// Throws zmq::error_t, for example if there are too many sockets.
+  zmq::socket_t connect(const std::string &Address) {
     zmq::socket_t Socket(Context, zmq::socket_type::push);
     Socket.set(zmq::sockopt::linger, LingerMs);
     Socket.set(zmq::sockopt::sndhwm, QueueLimit);
@@ -152,9 +190,7 @@
     Socket.set(zmq::sockopt::reconnect_ivl, ReconnectMs);
     Socket.set(zmq::sockopt::reconnect_ivl_max, MaxReconnectMs);
     Socket.connect("tcp://" + Address);
-    return Outbound
-        .emplace(Address, OutboundPeer{std::move(Socket), Now, Now, {}})
-        .first->second;
+    return Socket;
   }
 
   /// ZeroMQ's descriptor is edge-triggered, so all messages are received before
@@ -167,10 +203,21 @@
                         });
   }
 
+  bool tryReceive(zmq::message_t &Message) {
+    for (;;) {
+      try {
+        return Inbound.recv(Message, zmq::recv_flags::dontwait).has_value();
+      } catch (const zmq::error_t &Error) {
+        if (Error.num() != EINTR)
+          return false;
+      }
+    }
+  }
+
   void receive() {
     for (unsigned Count = 0; Count < ReceiveBatch; ++Count) {
       zmq::message_t Message;
-      if (!Inbound.recv(Message, zmq::recv_flags::dontwait)) {
+      if (!tryReceive(Message)) {
         waitReadable();
         return;
       }
@@ -184,6 +231,7 @@
 
   asio::io_context &Io;
   const ReceiveHook HandleMessage;
+  const BadAddressHook ReportBadAddress;
   zmq::context_t Context;
   zmq::socket_t Inbound;
   std::unordered_map<std::string, OutboundPeer> Outbound;
@@ -194,9 +242,10 @@
 };
 
 PeerTransport::PeerTransport(asio::io_context &Context,
-                             ReceiveHook HandleMessage)
-    : Implementation(
-          std::make_unique<Impl>(Context, std::move(HandleMessage))) {}
+                             ReceiveHook HandleMessage,
+                             BadAddressHook ReportBadAddress)
+    : Implementation(std::make_unique<Impl>(Context, std::move(HandleMessage),
+                                            std::move(ReportBadAddress))) {}
 
 PeerTransport::~PeerTransport() = default;
 
--- a/net/peer_transport.h
+++ b/net/peer_transport.h
@@ -23,7 +23,8 @@
   std::uint64_t BytesSent = 0;
   std::uint64_t MessagesReceived = 0;
   std::uint64_t BytesReceived = 0;
-  /// Messages dropped because the peer had no connection or its queue was full.
+  /// Messages dropped because the peer had no connection or its queue was full,
+  /// or because its address cannot be used.
   std::uint64_t MessagesNotSent = 0;
 };
 
@@ -38,7 +39,13 @@
 public:
   using ReceiveHook = std::function<void(std::string_view Bytes)>;
 
-  PeerTransport(boost::asio::io_context &Context, ReceiveHook HandleMessage);
+  /// Called with an address from the fleet or the store that cannot be used.
+  using BadAddressHook =
+      std::function<void(const std::string &Address, const std::string &Why)>;
+
+  /// \p ReportBadAddress may be empty.
+  PeerTransport(boost::asio::io_context &Context, ReceiveHook HandleMessage,
+                BadAddressHook ReportBadAddress = {});
   ~PeerTransport();
   PeerTransport(const PeerTransport &) = delete;
   PeerTransport &operator=(const PeerTransport &) = delete;
--- a/tests/net/peer_transport_test.cpp
+++ b/tests/net/peer_transport_test.cpp
@@ -47,6 +47,48 @@
   EXPECT_EQ(Sender.counters().MessagesSent, 2U);
 }
 
+// Guards against a process that ends because a row of the store or a message of
+// a peer names an address that ZeroMQ throws on.
+TEST_F(PeerTransportTest, send_unusableAddress_onlyItsMessageIsDropped) {
+  const auto Receiver = makeReceiver();
+  std::vector<std::string> Reported;
+  PeerTransport Reporting(
+      Context, [](std::string_view) {},
+      [&Reported](const std::string &Unusable, const std::string &) {
+        Reported.push_back(Unusable);
+      });
+  const std::vector<std::string> Addresses = {"",
+                                              "nowhere",
+                                              "127.0.0.1",
+                                              "127.0.0.1:",
+                                              "127.0.0.1:0",
+                                              "127.0.0.1:99999",
+                                              "name.example:80",
+                                              "*:80",
+                                              "tcp://127.0.0.1:80",
+                                              "127.0.0.1:80;127.0.0.1:81"};
+  for (const std::string &Unusable : Addresses)
+    Reporting.send(Unusable, "lost");
+  Reporting.send(Address, "kept");
+  run(250ms);
+  EXPECT_EQ(Reported, Addresses);
+  EXPECT_EQ(Received, std::vector<std::string>{"kept"});
+  EXPECT_EQ(Reporting.counters().MessagesNotSent, Addresses.size());
+}
+
+// The library has a limit on its sockets.
+TEST_F(PeerTransportTest, send_tooManyPeers_othersAreStillServed) {
+  const auto Receiver = makeReceiver();
+  Sender.send(Address, "one");
+  for (unsigned Peer = 1; Peer <= 1'100; ++Peer)
+    Sender.send("127.1." + std::to_string(Peer / 200) + "." +
+                    std::to_string(Peer % 200 + 1) + ":9",
+                "lost");
+  Sender.send(Address, "two");
+  run(250ms);
+  EXPECT_EQ(Received, (std::vector<std::string>{"one", "two"}));
+}
+
 TEST_F(PeerTransportTest, send_peerStartsAfterConnectTime_dropsEarlierMessage) {
   Sender.send(Address, "old");
   run(400ms);
