--- a/tests/wire/peer_codec_test.cpp
+++ b/tests/wire/peer_codec_test.cpp
@@ -111,6 +111,27 @@
   EXPECT_EQ(*std::get<ClaimCall>(Read.Body).Request, *makeRequest());
 }
 
+// Guards against a request or an answer that is lost between two hosts because
+// its texts are not UTF-8, which HTTP allows.
+TEST(PeerCodecTest, decode_textsNotUtf8_keepsThem) {
+  CallerRequest Request = *makeRequest();
+  Request.Method = "M\xff";
+  Request.Target = "/\xe9";
+  Request.Headers = {{"A", "caf\xe9"}};
+  Request.Key = "k\xe9";
+  Request.Token = "t\xe9";
+  Request.TraceId = "\xe9";
+  const auto Call = decode(encode(
+      wrap(ClaimCall{5, std::make_shared<const CallerRequest>(Request), 8s})));
+  ASSERT_TRUE(Call.has_value());
+  EXPECT_EQ(*std::get<ClaimCall>(Call.value().Body).Request, Request);
+  const Answer Reply{200, {{"B", "caf\xe9"}}, "body"};
+  const auto Result = decode(
+      encode(wrap(ClaimAnswer{5, std::make_shared<const Answer>(Reply)})));
+  ASSERT_TRUE(Result.has_value());
+  EXPECT_EQ(*std::get<ClaimAnswer>(Result.value().Body).Reply, Reply);
+}
+
 TEST(PeerCodecTest, decode_answeredWithoutAnswer_isRejected) {
   AttemptResult Result;
   Result.End = AttemptEnd::Answered;
