Write JSON whatever bytes another process put into it

What callers would see: an address of a host or the id of a server that is not UTF-8 ends the process that writes it into the directory, a record of a crash or an operator's page (nlohmann's type_error 316).

Cause: dump() throws on such bytes.

--- a/daemon/admin_pages.cpp
+++ b/daemon/admin_pages.cpp
@@ -2,8 +2,7 @@
 /// Serves the admin address of an entry host: health, metrics, status, explain.
 #include "daemon/entry_host_process.h"
 #include "daemon/text_page.h"
-
-#include <nlohmann/json.hpp>
+#include "platform/json_text.h"
 
 namespace mimosacart {
 
@@ -17,7 +16,7 @@
 constexpr std::string_view ExplainPrefix = "/v1/explain/";
 
 HttpResponse makeJsonPage(const Json &Value) {
-  return {StatusOk, {{"Content-Type", "application/json"}}, Value.dump()};
+  return {StatusOk, {{"Content-Type", "application/json"}}, toJsonText(Value)};
 }
 
 Json toJson(const MemberRecord &Member) {
--- a/daemon/caller_protocol.cpp
+++ b/daemon/caller_protocol.cpp
@@ -1,9 +1,9 @@
 #include "daemon/caller_protocol.h"
 
 #include "core/text.h"
+#include "platform/json_text.h"
 
 #include <fmt/format.h>
-#include <nlohmann/json.hpp>
 
 #include <array>
 #include <charconv>
@@ -164,7 +164,7 @@
       std::chrono::duration_cast<std::chrono::milliseconds>(Entries.KeepFor);
   const nlohmann::json Body = {{"keep_for_ms", KeepForMs.count()},
                                {"entries", Hosts}};
-  return {StatusOk, {{"Content-Type", "application/json"}}, Body.dump()};
+  return {StatusOk, {{"Content-Type", "application/json"}}, toJsonText(Body)};
 }
 
 HttpResponse toRefusal(NetError Error) {
@@ -189,7 +189,7 @@
   return {Status,
           {{"Content-Type", "application/problem+json"},
            {OutcomeHeader, toString(RefusalOutcome::NotRun)}},
-          Body.dump()};
+          toJsonText(Body)};
 }
 
 } // namespace mimosacart
--- a/tests/platform/http_codec_test.cpp
+++ b/tests/platform/http_codec_test.cpp
@@ -201,6 +201,14 @@
   EXPECT_LT(writeDirectory(Addresses, 1s, 1).Body.size(), 64 * 15 + 40U);
 }
 
+// Guards against a process that ends because another host names an address that
+// is not UTF-8.
+TEST(HttpCodecTest, writeDirectory_addressNotUtf8_othersAreListed) {
+  const HttpResponse Response =
+      writeDirectory({"10.0.0.1:80", "\xff"}, std::chrono::seconds(1), 0);
+  EXPECT_NE(Response.Body.find("10.0.0.1:80"), std::string::npos);
+}
+
 TEST(HttpCodecTest, writeDirectory_longList_isCoveredByConsecutiveResponses) {
   std::vector<std::string> Addresses;
   for (unsigned Number = 0; Number < 150; ++Number)
--- a/tests/platform/row_codec_test.cpp
+++ b/tests/platform/row_codec_test.cpp
@@ -226,6 +226,15 @@
   EXPECT_EQ(readCrashes(Row), Crashes);
 }
 
+// Guards against a process that ends because a server states an id that is not
+// UTF-8.
+TEST(RowCodecTest, writeCrashes_serverNotUtf8_rowIsReadable) {
+  TableRow Row;
+  Row.Key = writeCrashKey(7);
+  Row.Value = writeCrashes({{7, ServerName("\xff"), 1, {}}});
+  EXPECT_EQ(readCrashes(Row).size(), 1U);
+}
+
 TEST(RowCodecTest, readCrashes_foreignRow_holdsNoCrashes) {
   const std::string Value = writeCrashes({{7, ServerName("i-1"), 1, {}}});
   EXPECT_TRUE(readCrashes({"", 1, false, Value}).empty());
