Let mimosacartctl report answers of another form and go on

What operators saw: status, explain and history end with an uncaught exception, or with a stack overflow on a deeply nested value, if one host or the platform answers with another form than expected.

Cause: the answers were read with functions that throw, and copied and printed level by level.

Change: such an answer is reported with its address and its reason, and the other hosts are still shown; values nested more than 32 deep are dropped; spans are typed; a time that is no calendar time is printed as a number.

--- a/ctl/verbs.cpp
+++ b/ctl/verbs.cpp
@@ -1,11 +1,11 @@
 #include "ctl/verbs.h"
 
+#include "platform/json_text.h"
 #include "settings/configuration_file.h"
 #include "settings/text_file.h"
 
 #include <fmt/chrono.h>
 #include <fmt/format.h>
-#include <nlohmann/json.hpp>
 
 #include <algorithm>
 #include <chrono>
@@ -18,6 +18,10 @@
 using Json = nlohmann::json;
 
 constexpr auto InForcePollInterval = std::chrono::milliseconds(100);
+constexpr int JsonIndent = 2;
+/// Values nested more deeply in an answer are dropped: copying them takes stack
+/// for each level.
+constexpr int MaxAnswerDepth = 32;
 
 /// Reads and checks the configuration file \p Path and returns its text and its
 /// parsed content. Prints the errors and returns nothing if there are any.
@@ -44,12 +48,30 @@
   const auto Body = Client.readAdmin(Address, Path);
   if (!Body)
     return std::nullopt;
-  Json Value = Json::parse(*Body, nullptr, false);
-  if (Value.is_discarded())
+  const auto IsShallow = [](int Depth, Json::parse_event_t /*Event*/,
+                            const Json & /*Value*/) {
+    return Depth <= MaxAnswerDepth;
+  };
+  Json Value = Json::parse(*Body, IsShallow, false);
+  if (!Value.is_object())
     return std::nullopt;
   return Value;
 }
 
+/// Calls \p Read, which reads the answer of \p Address. If it has another form
+/// than expected, prints that and returns false.
+template <typename ReadFunction>
+bool readAnswer(const std::string &Address, const ReadFunction &Read) {
+  try {
+    Read();
+    return true;
+  } catch (const Json::exception &Error) {
+    fmt::print(stderr, "mimosacartctl: {}: the answer cannot be read: {}\n",
+               Address, Error.what());
+    return false;
+  }
+}
+
 /// How many hosts answer, and how many of these have a generation in force.
 struct HostCounts {
   /// Hosts on which the generation, or a later one, is in force.
@@ -64,9 +86,13 @@
     const auto Status = readJson(Client, Address, "/v1/status");
     if (!Status)
       continue;
-    ++Counts.Answering;
-    if (Status->value("generation", std::uint64_t(0)) >= Number.value())
-      ++Counts.InForce;
+    bool IsInForce = false;
+    const bool IsReadable = readAnswer(Address, [&] {
+      IsInForce =
+          Status->value("generation", std::uint64_t(0)) >= Number.value();
+    });
+    Counts.Answering += IsReadable ? 1 : 0;
+    Counts.InForce += IsInForce ? 1 : 0;
   }
   return Counts;
 }
@@ -91,10 +117,58 @@
   return Everywhere ? ExitStatus::Done : ExitStatus::NotInForce;
 }
 
-/// Formats a time in seconds since 1970.
+/// Formats a time in seconds since 1970. A number that is no calendar time is
+/// printed as it is.
 std::string formatTime(std::int64_t Seconds) {
-  return fmt::format("{:%Y-%m-%d %H:%M:%S}Z",
-                     fmt::gmtime(static_cast<std::time_t>(Seconds)));
+  try {
+    return fmt::format("{:%Y-%m-%d %H:%M:%S}Z",
+                       fmt::gmtime(static_cast<std::time_t>(Seconds)));
+  } catch (const fmt::format_error &) {
+    return std::to_string(Seconds);
+  }
+}
+
+/// One span of a trace, as a host answers it.
+struct ExplainedSpan {
+  std::string Host;
+  std::string Name;
+  double AgeMs = 0;
+  double DurationMs = 0;
+  std::vector<std::pair<std::string, std::string>> Fields;
+};
+
+/// Throws Json::exception if \p Span has another form.
+ExplainedSpan parseSpan(const std::string &Host, const Json &Span) {
+  ExplainedSpan Result{Host,
+                       Span.value("name", ""),
+                       Span.value("age_ms", 0.0),
+                       Span.value("duration_ms", 0.0),
+                       {}};
+  for (const auto &[Key, Value] : Span.value("fields", Json::object()).items())
+    Result.Fields.emplace_back(Key, Value.get<std::string>());
+  return Result;
+}
+
+Json toJson(const ExplainedSpan &Span) {
+  Json Fields = Json::object();
+  for (const auto &[Key, Value] : Span.Fields)
+    Fields[Key] = Value;
+  return {{"host", Span.Host},
+          {"name", Span.Name},
+          {"age_ms", Span.AgeMs},
+          {"duration_ms", Span.DurationMs},
+          {"fields", Fields}};
+}
+
+void printSpans(const std::vector<ExplainedSpan> &Spans) {
+  for (const ExplainedSpan &Span : Spans) {
+    fmt::print("{:>9.2f} ms  {:<14} {:<9} {:>9.2f} ms ",
+               Spans.front().AgeMs - Span.AgeMs, Span.Host, Span.Name,
+               Span.DurationMs);
+    for (const auto &[Key, Value] : Span.Fields)
+      fmt::print(" {}={}", Key, Value);
+    fmt::print("\n");
+  }
 }
 
 void printStatus(const Json &Status) {
@@ -207,12 +281,17 @@
         fmt::print("{:<16} does not answer\n", Address);
       continue;
     }
-    if (Options.Format == OutputFormat::Table)
-      printStatus(*Status);
-    Statuses.push_back(*Status);
+    const bool IsReadable = readAnswer(Address, [&] {
+      if (Options.Format == OutputFormat::Table)
+        printStatus(*Status);
+    });
+    if (IsReadable)
+      Statuses.push_back(*Status);
+    else
+      ++UnreachableHosts;
   }
   if (Options.Format == OutputFormat::Json)
-    fmt::print("{}\n", Statuses.dump(2));
+    fmt::print("{}\n", toJsonText(Statuses, JsonIndent));
   return UnreachableHosts == 0 ? ExitStatus::Done : ExitStatus::Unreachable;
 }
 
@@ -242,21 +321,22 @@
                  Accepted.Digest, Accepted.Submission);
   }
   if (Options.Format == OutputFormat::Json)
-    fmt::print("{}\n", Rows.dump(2));
+    fmt::print("{}\n", toJsonText(Rows, JsonIndent));
   return ExitStatus::Done;
 }
 
 ExitStatus runExplain(OperatorClient &Client, const std::string &TraceId,
                       const VerbOptions &Options) {
-  Json Spans = Json::array();
+  std::vector<ExplainedSpan> Spans;
   for (const std::string &Address : Client.settings().AdminAddresses) {
     const auto Response = readJson(Client, Address, "/v1/explain/" + TraceId);
     if (!Response)
       continue;
-    for (Json Span : Response->value("spans", Json::array())) {
-      Span["host"] = Response->value("host", "");
-      Spans.push_back(std::move(Span));
-    }
+    readAnswer(Address, [&] {
+      const std::string Host = Response->value("host", "");
+      for (const Json &Span : Response->value("spans", Json::array()))
+        Spans.push_back(parseSpan(Host, Span));
+    });
   }
   if (Spans.empty()) {
     fmt::print(stderr,
@@ -266,23 +346,18 @@
     return ExitStatus::Unreachable;
   }
   // The oldest span comes first.
-  std::stable_sort(
-      Spans.begin(), Spans.end(), [](const Json &Left, const Json &Right) {
-        return Left.value("age_ms", 0.0) > Right.value("age_ms", 0.0);
-      });
-  if (Options.Format == OutputFormat::Json) {
-    fmt::print("{}\n", Spans.dump(2));
+  std::stable_sort(Spans.begin(), Spans.end(),
+                   [](const ExplainedSpan &Left, const ExplainedSpan &Right) {
+                     return Left.AgeMs > Right.AgeMs;
+                   });
+  if (Options.Format == OutputFormat::Table) {
+    printSpans(Spans);
     return ExitStatus::Done;
   }
-  const double Start = Spans.front().value("age_ms", 0.0);
-  for (const Json &Span : Spans) {
-    fmt::print("{:>9.2f} ms  {:<14} {:<9} {:>9.2f} ms ",
-               Start - Span.value("age_ms", 0.0), Span.value("host", ""),
-               Span.value("name", ""), Span.value("duration_ms", 0.0));
-    for (const auto &[Key, Value] : Span["fields"].items())
-      fmt::print(" {}={}", Key, Value.get<std::string>());
-    fmt::print("\n");
-  }
+  Json Rows = Json::array();
+  for (const ExplainedSpan &Span : Spans)
+    Rows.push_back(toJson(Span));
+  fmt::print("{}\n", toJsonText(Rows, JsonIndent));
   return ExitStatus::Done;
 }
 
