Bound the memory of the messages that a host holds

What callers saw: an entry host grew until the platform killed it, and every request in progress there ended with a closed connection.

Cause: nothing bounded what all connections hold together. A session kept the body of its last request while its connection was idle, and the last response until the next; each request was copied for each attempt, each answer twice; requests had no common limit at all. Answers had one (96 MB) only while they were read, and the call that read next was broken, which could be a neighbour's.

Change: MemoryBudget, one for requests and one for answers, each three tenths of the host's memory (host.memory_mb, from limits.memoryMb of the platform). A message reserves its bytes when its header declares them or as it grows, and gives them back when the last copy of its body is gone: for an answer when its last byte is written, for a request when nothing can need it again. Payload shares a body, so it is held once. A message may hold at most twice what then stays free, and the first 16 KB of each are not counted (the number of connections bounds those), so that long messages never keep common ones out. Who breaks the bound is refused as not run (503, or 413 if it could never fit), with Retry-After, and the rest of its request is read for at most 2 s and 64 MB, so that the refusal arrives; or its call is broken. The answers of the platform have a budget of their own, since JSON takes a multiple of its text. The limit on a peer's message follows from memory too.

Open: the queues of ZeroMQ are bounded in messages, not in bytes.

--- a/core/caller_request_handler.cpp
+++ b/core/caller_request_handler.cpp
@@ -231,8 +231,9 @@
   Work.Kind = kindOf(MatchedRoute);
   Work.Request = Entry.Request;
   Work.Deadline = Entry.Deadline;
-  Work.Fingerprint = fingerprintOf(Entry.Service, Entry.Kind,
-                                   Entry.Request->Target, Entry.Request->Body);
+  Work.Fingerprint =
+      fingerprintOf(Entry.Service, Entry.Kind, Entry.Request->Target,
+                    Entry.Request->Body.bytes());
   Callbacks.Dispatch(Now, std::move(Work));
 }
 
--- a/core/node_hooks.cpp
+++ b/core/node_hooks.cpp
@@ -62,7 +62,7 @@
 void Node::reportCrash(const WorkItem &Item, const ServerName &Server) {
   const std::uint64_t Fingerprint =
       fingerprintOf(Item.Service.value(), Item.Kind.Name, Item.Request->Target,
-                    Item.Request->Body);
+                    Item.Request->Body.bytes());
   // Unique because an incarnation never reuses a sequence number.
   const CrashNotice Notice = Notices.addCrash(
       Now, Fingerprint, Server, Incarnation.value() + ++LastSequence);
--- a/core/request.h
+++ b/core/request.h
@@ -4,6 +4,7 @@
 
 #include "core/configuration.h"
 #include "core/ids.h"
+#include "core/payload.h"
 #include "core/time.h"
 
 #include <memory>
@@ -30,7 +31,7 @@
   /// IP address of the caller, if known.
   std::string Caller;
   std::vector<HeaderField> Headers;
-  std::string Body;
+  Payload Body;
   /// Value of `Idempotency-Key`, if sent.
   std::optional<std::string> Key;
   /// Value of `Mimosacart-Issuer`, if sent.
@@ -54,7 +55,7 @@
 struct Answer {
   unsigned Status = 0;
   std::vector<HeaderField> Headers;
-  std::string Body;
+  Payload Body;
 
   friend bool operator==(const Answer &, const Answer &) = default;
 };
--- a/ctl/operator_client.cpp
+++ b/ctl/operator_client.cpp
@@ -157,7 +157,7 @@
   Loop->Http.call(std::move(Call), [&](const HttpResult &Result) {
     Finished = true;
     if (Result.has_value() && Result.value().Status == StatusOk)
-      Body = Result.value().Body;
+      Body = Result.value().Body.bytes();
   });
   Loop->Context.restart();
   while (!Finished && Loop->Context.run_one() > 0) {
--- a/daemon/caller_protocol.cpp
+++ b/daemon/caller_protocol.cpp
@@ -30,6 +30,7 @@
 constexpr unsigned StatusRequestTimeout = 408;
 constexpr unsigned StatusBodyTooLarge = 413;
 constexpr unsigned StatusHeaderTooLarge = 431;
+constexpr unsigned StatusUnavailable = 503;
 
 /// Parses a non-negative decimal integer.
 std::optional<std::int64_t> parseInteger(const std::string *Text) {
@@ -132,7 +133,8 @@
 AnswerPtr toServerAnswer(HttpResponse Response) {
   Answer Result;
   Result.Status = Response.Status;
-  Result.Body = std::move(Response.Body);
+  // Claims keep answers for long, which must not take the memory of messages.
+  Result.Body = Payload(Response.Body.bytes());
   for (HeaderField &Field : Response.Headers)
     if (!isReservedHeader(Field.Name) && !isHopByHop(Field.Name))
       Result.Headers.push_back(std::move(Field));
@@ -182,6 +184,10 @@
     Status = StatusRequestTimeout;
     Title = "request-too-slow";
   }
+  if (Error == NetError::NoMemory) {
+    Status = StatusUnavailable;
+    Title = "no-memory";
+  }
   const nlohmann::json Body = {{"type", "urn:mimosacart:" + Title},
                                {"title", Title},
                                {"status", Status},
--- a/daemon/direct_host_process.cpp
+++ b/daemon/direct_host_process.cpp
@@ -17,11 +17,8 @@
 
 namespace {
 
-/// Largest answer read from a backend server or the store.
+/// Largest answer read from a backend server or the store, if memory allows.
 constexpr std::size_t MaxAnswerBytes = 64U << 20U;
-/// Answers of backend servers that are read at the same time, in bytes. Leaves
-/// room for the copies made while an answer grows on hosts with 400 MB.
-constexpr std::size_t MaxBufferedAnswerBytes = 96U << 20U;
 /// Longest time of a call to the store, except for waits for changes.
 constexpr Duration StoreTimeout = std::chrono::milliseconds(1500);
 /// Added to the clock, so that an Instant of zero always lies in the past.
@@ -95,8 +92,10 @@
   return Result;
 }
 
-HttpServerLimits toServerLimits(const CallerRequestLimits &Limits) {
+HttpServerLimits toServerLimits(const CallerRequestLimits &Limits,
+                                std::size_t MaxConnections) {
   HttpServerLimits Result;
+  Result.Connections = std::min(Result.Connections, MaxConnections);
   Result.HeaderBytes = Limits.HeaderBytes;
   Result.BodyBytes = Limits.BodyBytes;
   Result.IdleTimeout = Limits.IdleTimeout;
@@ -120,9 +119,10 @@
     : Context(IoContext), Settings(std::move(InitialSettings)),
       OnStopped(std::move(StopHandler)), Incarnation(makeIncarnation()),
       Log(Settings.Name.value(), parseLogLevel(Settings.LogLevel)),
-      ServerHttp(IoContext, MaxAnswerBytes, MaxBufferedAnswerBytes,
+      Memory(Settings.MemoryBytes),
+      ServerHttp(IoContext, MaxAnswerBytes, Memory.Answers,
                  makeInvalidMessageHook("server")),
-      StoreHttp(IoContext, MaxAnswerBytes, MaxAnswerBytes,
+      StoreHttp(IoContext, MaxAnswerBytes, Memory.Platform,
                 makeInvalidMessageHook("store")),
       Store(StoreHttp, Settings.PlatformAddress, StoreTimeout),
       CrashRecordRows(Store, Log, makeCrashRecordHooks()),
@@ -132,39 +132,42 @@
           [this](const std::string &Address, const std::string &Why) {
             Log.error("peer_address_unusable",
                       {{"address", Address}, {"why", Why}});
-          }),
+          },
+          Memory.MaxPeerMessageBytes),
       Core(now(), makeNodeSettings(Settings, Incarnation), makeCoreHooks()),
       RouteFollower(IoContext, Store, RoutesTableName, Log,
                     makeFollowerHooks(StoreTable::Routes)),
       ServerFollower(IoContext, Store, ServersTableName, Log,
                      makeFollowerHooks(StoreTable::Servers)),
       CallerEndpoint(
-          IoContext, toServerLimits({}),
+          IoContext, toServerLimits({}, Memory.MaxConnections),
           [this](HttpRequest Request, std::shared_ptr<HttpExchange> Exchange) {
             onCallerRequest(std::move(Request), std::move(Exchange));
           },
-          writeRequestError, makeInvalidMessageHook("caller")),
+          writeRequestError, makeInvalidMessageHook("caller"), Memory.Requests),
       DirectoryEndpoint(
           IoContext, {},
           [this](const HttpRequest &Request,
                  const std::shared_ptr<HttpExchange> &Exchange) {
             onDirectoryRequest(Request, *Exchange);
           },
-          writeRequestError, makeInvalidMessageHook("directory")),
+          writeRequestError, makeInvalidMessageHook("directory"),
+          Memory.Requests),
       ReadinessEndpoint(
           IoContext, {},
           [this](const HttpRequest & /*Request*/,
                  const std::shared_ptr<HttpExchange> &Exchange) {
             onReadinessRequest(*Exchange);
           },
-          writeRequestError, makeInvalidMessageHook("readiness")),
+          writeRequestError, makeInvalidMessageHook("readiness"),
+          Memory.Requests),
       AdminEndpoint(
           IoContext, {},
           [this](const HttpRequest &Request,
                  const std::shared_ptr<HttpExchange> &Exchange) {
             onAdminRequest(Request, *Exchange);
           },
-          writeRequestError, makeInvalidMessageHook("admin")),
+          writeRequestError, makeInvalidMessageHook("admin"), Memory.Requests),
       HostTimers(std::make_unique<Timers>(IoContext)) {}
 
 DirectHostProcess::~DirectHostProcess() = default;
@@ -278,7 +281,8 @@
 
 void DirectHostProcess::applyConfiguration(
     const RouteConfiguration &Configuration) {
-  CallerEndpoint.setLimits(toServerLimits(Configuration.Limits));
+  CallerEndpoint.setLimits(
+      toServerLimits(Configuration.Limits, Memory.MaxConnections));
 }
 
 void DirectHostProcess::onCallerRequest(
@@ -365,7 +369,7 @@
   }
   Exchange.respond(makeTextPage(
       StatusOk, HostMetrics.render(Core, Peers.counters(), countStoreCalls(),
-                                   CallerEndpoint.connections())));
+                                   Memory, CallerEndpoint.connections())));
 }
 
 StoreCallsByCause DirectHostProcess::countStoreCalls() const {
--- a/daemon/direct_host_process.h
+++ b/daemon/direct_host_process.h
@@ -7,6 +7,7 @@
 #include "daemon/direct_metrics.h"
 #include "daemon/event_log.h"
 #include "daemon/host_rows.h"
+#include "daemon/message_memory.h"
 #include "daemon/table_follower.h"
 #include "direct/direct_node.h"
 #include "net/http_client.h"
@@ -84,6 +85,7 @@
   const IncarnationId Incarnation;
   EventLog Log;
   DirectMetrics HostMetrics;
+  MessageMemory Memory;
   HttpClient ServerHttp;
   HttpClient StoreHttp;
   StoreClient Store;
--- a/daemon/direct_metrics.cpp
+++ b/daemon/direct_metrics.cpp
@@ -64,6 +64,7 @@
 std::string DirectMetrics::render(const DirectNode &Core,
                                   const PeerTransportCounters &Transport,
                                   const StoreCallsByCause &StoreCalls,
+                                  const MessageMemory &Memory,
                                   std::size_t CallerConnections) {
   const auto Set = [this](const std::string &Name, auto Value) {
     StateGauge.Add({{"name", Name}}).Set(static_cast<double>(Value));
@@ -97,6 +98,8 @@
   Set("peer_bytes_sent", Transport.BytesSent);
   Set("peer_messages_not_sent", Transport.MessagesNotSent);
   Set("caller_connections", CallerConnections);
+  Set("request_bytes", Memory.Requests->held());
+  Set("answer_bytes", Memory.Answers->held());
   std::ostringstream Output;
   prometheus::TextSerializer().Serialize(Output, Registry.Collect());
   return Output.str();
--- a/daemon/direct_metrics.h
+++ b/daemon/direct_metrics.h
@@ -3,6 +3,7 @@
 /// docs/METRICS.md describes them.
 #pragma once
 
+#include "daemon/message_memory.h"
 #include "direct/direct_node.h"
 #include "net/peer_transport.h"
 
@@ -32,6 +33,7 @@
   std::string render(const DirectNode &Core,
                      const PeerTransportCounters &Transport,
                      const StoreCallsByCause &StoreCalls,
+                     const MessageMemory &Memory,
                      std::size_t CallerConnections);
 
 private:
--- a/daemon/entry_host_process.cpp
+++ b/daemon/entry_host_process.cpp
@@ -19,9 +19,6 @@
 constexpr std::size_t TraceCapacity = 20'000;
 /// Largest answer read from a backend server or the platform.
 constexpr std::size_t MaxAnswerBytes = 16U << 20U;
-/// Answers of backend servers, or of the platform, that are read at the same
-/// time, in bytes.
-constexpr std::size_t MaxBufferedAnswerBytes = 96U << 20U;
 /// Longest idle time after which a connection is reused for an idempotent
 /// request. Other requests always open a new connection.
 constexpr Duration MaxConnectionIdle = std::chrono::seconds(30);
@@ -95,9 +92,10 @@
       Log(Settings.Name.value(), parseLogLevel(Settings.LogLevel)),
       Ids(Incarnation.value()), Traces(TraceCapacity),
       Core(now(), makeNodeSettings(Settings, Incarnation)),
-      ServerHttp(IoContext, MaxAnswerBytes, MaxBufferedAnswerBytes,
+      Memory(Settings.MemoryBytes),
+      ServerHttp(IoContext, MaxAnswerBytes, Memory.Answers,
                  makeInvalidMessageHook("server")),
-      PlatformHttp(IoContext, MaxAnswerBytes, MaxBufferedAnswerBytes,
+      PlatformHttp(IoContext, MaxAnswerBytes, Memory.Platform,
                    makeInvalidMessageHook("platform")),
       Platform(PlatformHttp, Settings.PlatformAddress,
                Settings.PlatformTimeout),
@@ -127,14 +125,14 @@
           [this](HttpRequest Request, std::shared_ptr<HttpExchange> Exchange) {
             onCallerRequest(std::move(Request), std::move(Exchange));
           },
-          toRefusal, makeInvalidMessageHook("caller")),
+          toRefusal, makeInvalidMessageHook("caller"), Memory.Requests),
       AdminEndpoint(
           IoContext, {},
           [this](const HttpRequest &Request,
                  const std::shared_ptr<HttpExchange> &Exchange) {
             onAdminRequest(Request, *Exchange);
           },
-          toRefusal, makeInvalidMessageHook("admin")),
+          toRefusal, makeInvalidMessageHook("admin"), Memory.Requests),
       TickTimer(std::make_unique<Timer>(IoContext)) {}
 
 EntryHostProcess::~EntryHostProcess() = default;
--- a/daemon/entry_host_process.h
+++ b/daemon/entry_host_process.h
@@ -8,6 +8,7 @@
 #include "daemon/claim_archive.h"
 #include "daemon/configuration_watcher.h"
 #include "daemon/event_log.h"
+#include "daemon/message_memory.h"
 #include "daemon/metrics.h"
 #include "daemon/trace_ring.h"
 #include "net/http_client.h"
@@ -86,6 +87,7 @@
   TraceRing Traces;
   Metrics HostMetrics;
   Node Core;
+  MessageMemory Memory;
   HttpClient ServerHttp;
   HttpClient PlatformHttp;
   PlatformClient Platform;
--- a/direct/direct_node.cpp
+++ b/direct/direct_node.cpp
@@ -18,7 +18,7 @@
   Hash = stableHash(Request.Target, Hash);
   Hash = stableHash(Request.Caller, Hash);
   // The lowest bit is set because 0 means that there is no fingerprint.
-  return stableHash(Request.Body, Hash) | 1U;
+  return stableHash(Request.Body.bytes(), Hash) | 1U;
 }
 
 } // namespace
--- a/net/http_client.cpp
+++ b/net/http_client.cpp
@@ -28,9 +28,8 @@
 class HttpClient::Impl {
 public:
   Impl(asio::io_context &Context, std::size_t MaxBodyBytes,
-       std::size_t MaxBufferedBytes, InvalidMessageHook ReportInvalid)
-      : Context(Context), MaxBodyBytes(MaxBodyBytes),
-        MaxBufferedBytes(MaxBufferedBytes),
+       std::shared_ptr<MemoryBudget> Memory, InvalidMessageHook ReportInvalid)
+      : Context(Context), MaxBodyBytes(MaxBodyBytes), Memory(std::move(Memory)),
         ReportInvalid(std::move(ReportInvalid)) {}
 
   /// Takes the most recently used connection to \p Address that is still open
@@ -43,10 +42,8 @@
 
   asio::io_context &Context;
   const std::size_t MaxBodyBytes;
-  const std::size_t MaxBufferedBytes;
+  const std::shared_ptr<MemoryBudget> Memory;
   const InvalidMessageHook ReportInvalid;
-  /// Body bytes of all responses that are being read.
-  std::size_t BufferedBytes = 0;
   std::unordered_map<std::string, std::deque<IdleConnection>> Idle;
 };
 
@@ -109,10 +106,6 @@
   /// Continues after bytes of the response have been parsed.
   void onParsed(const std::optional<MessageError> &Invalid);
   void onComplete();
-  /// Adds the body bytes read so far to the client's; returns whether they
-  /// exceed its limit.
-  bool countBytes();
-  void releaseBytes();
   void onResponse(HttpResponse Response, bool KeepAlive);
   void finish(HttpResult Result);
   /// Reports an invalid message and ends the call as soon as its handle has
@@ -124,11 +117,9 @@
   HttpClient::DoneHook Done;
   const std::chrono::steady_clock::time_point Deadline;
   std::unique_ptr<beast::tcp_stream> Stream;
-  http::request<http::string_body> Outgoing;
+  http::request<http::span_body<const char>> Outgoing;
   bool RequestWritten = false;
   beast::flat_buffer Buffer;
-  /// Body bytes of the current response that are counted in the client.
-  std::size_t CountedBytes = 0;
   unsigned DroppedResponses = 0;
   std::optional<MessageReader<false>> Reader;
 };
@@ -191,7 +182,8 @@
   insertFields(Call.Request.Headers, Outgoing);
   if (Outgoing.find(http::field::host) == Outgoing.end())
     Outgoing.set(http::field::host, Call.Address);
-  Outgoing.body() = std::move(Call.Request.Body);
+  const std::string &Bytes = Call.Request.Body;
+  Outgoing.body() = {Bytes.data(), Bytes.size()};
   Outgoing.keep_alive(true);
   Outgoing.prepare_payload();
 }
@@ -214,8 +206,9 @@
   const auto Pool = Client.lock();
   if (!Pool)
     return;
-  Reader.emplace(Buffer, MessageLimits{MaxHeaderBytes, Pool->MaxBodyBytes},
-                 Call.Request.Method == "HEAD");
+  Reader.emplace(
+      Buffer, MessageLimits{MaxHeaderBytes, Pool->MaxBodyBytes, Pool->Memory},
+      Call.Request.Method == "HEAD");
   if (Buffer.size() > 0)
     onParsed(Reader->parse(0));
   else
@@ -245,30 +238,12 @@
 void ClientCall::onParsed(const std::optional<MessageError> &Invalid) {
   if (Invalid)
     fail(*Invalid);
-  else if (countBytes())
-    fail({NetError::BodyTooLarge, "the responses together are too large"});
   else if (Reader->isDone())
     onComplete();
   else
     readMore();
 }
 
-bool ClientCall::countBytes() {
-  const auto Pool = Client.lock();
-  if (!Pool)
-    return true;
-  const std::size_t Size = Reader->message().body().size();
-  Pool->BufferedBytes += Size - CountedBytes;
-  CountedBytes = Size;
-  return Pool->BufferedBytes > Pool->MaxBufferedBytes;
-}
-
-void ClientCall::releaseBytes() {
-  if (const auto Pool = Client.lock())
-    Pool->BufferedBytes -= CountedBytes;
-  CountedBytes = 0;
-}
-
 void ClientCall::onComplete() {
   const auto &Message = Reader->message();
   // Beast's need_eof() is also true for a response with a length that closes
@@ -290,7 +265,6 @@
   const bool Dropped = Response.Status < FirstFinalStatus ||
                        (Call.Accept && !Call.Accept(Response));
   if (Dropped) {
-    releaseBytes();
     if (KeepAlive && ++DroppedResponses <= MaxDroppedResponses)
       startResponse();
     else
@@ -328,7 +302,7 @@
     return;
   const HttpClient::DoneHook Hook = std::move(Done);
   Done = nullptr;
-  releaseBytes();
+  Reader.reset();
   if (Stream && Result.has_error())
     Stream->close();
   Hook(std::move(Result));
@@ -336,7 +310,7 @@
 
 void ClientCall::cancel() {
   Done = nullptr;
-  releaseBytes();
+  Reader.reset();
   if (Stream)
     Stream->close();
 }
@@ -344,9 +318,9 @@
 } // namespace
 
 HttpClient::HttpClient(asio::io_context &Context, std::size_t MaxBodyBytes,
-                       std::size_t MaxBufferedBytes,
+                       std::shared_ptr<MemoryBudget> Memory,
                        InvalidMessageHook ReportInvalid)
-    : Shared(std::make_shared<Impl>(Context, MaxBodyBytes, MaxBufferedBytes,
+    : Shared(std::make_shared<Impl>(Context, MaxBodyBytes, std::move(Memory),
                                     std::move(ReportInvalid))) {}
 
 HttpClient::~HttpClient() = default;
--- a/net/http_client.h
+++ b/net/http_client.h
@@ -2,13 +2,13 @@
 /// An HTTP/1.1 client with a pool of idle connections per server address.
 #pragma once
 
+#include "core/memory_budget.h"
 #include "core/time.h"
 #include "net/http_message.h"
 
 #include <boost/outcome/result.hpp>
 
 #include <functional>
-#include <limits>
 #include <memory>
 #include <string>
 
@@ -58,13 +58,13 @@
 public:
   using DoneHook = std::function<void(HttpResult)>;
 
-  /// \p MaxBodyBytes limits the body of a response, \p MaxBufferedBytes those
-  /// of all responses that are being read. A call that exceeds either is
-  /// broken. \p ReportInvalid may be empty.
-  HttpClient(
-      boost::asio::io_context &Context, std::size_t MaxBodyBytes,
-      std::size_t MaxBufferedBytes = std::numeric_limits<std::size_t>::max(),
-      InvalidMessageHook ReportInvalid = {});
+  /// \p MaxBodyBytes limits the body of a response, \p Memory the responses
+  /// that are held, from their first byte until their bodies are dropped. A
+  /// call whose response exceeds either is broken. \p Memory may be null and
+  /// \p ReportInvalid empty.
+  HttpClient(boost::asio::io_context &Context, std::size_t MaxBodyBytes,
+             std::shared_ptr<MemoryBudget> Memory = nullptr,
+             InvalidMessageHook ReportInvalid = {});
   ~HttpClient();
   HttpClient(const HttpClient &) = delete;
   HttpClient &operator=(const HttpClient &) = delete;
--- a/net/http_message.cpp
+++ b/net/http_message.cpp
@@ -26,6 +26,8 @@
       return "header exceeds the size limit";
     case NetError::BodyTooLarge:
       return "body exceeds the size limit";
+    case NetError::NoMemory:
+      return "other messages hold the memory";
     case NetError::BadAddress:
       return "invalid or unavailable address";
     }
--- a/net/http_message.h
+++ b/net/http_message.h
@@ -18,7 +18,7 @@
   std::string Method;
   std::string Target;
   std::vector<HeaderField> Headers;
-  std::string Body;
+  Payload Body;
   /// IP address of the client, without the port; empty in outgoing requests.
   std::string RemoteAddress;
 };
@@ -27,7 +27,7 @@
 struct HttpResponse {
   unsigned Status = 0;
   std::vector<HeaderField> Headers;
-  std::string Body;
+  Payload Body;
 };
 
 /// Whether the header field \p Name is not forwarded: it applies to a single
@@ -49,6 +49,8 @@
   HeaderTooLarge,
   /// The body exceeds its size limit.
   BodyTooLarge,
+  /// Other messages hold the memory that this one needs.
+  NoMemory,
   /// The address is not an IP address and port, or cannot be bound.
   BadAddress,
 };
--- a/net/http_server.cpp
+++ b/net/http_server.cpp
@@ -12,6 +12,10 @@
 namespace {
 
 constexpr unsigned HttpVersion11 = 11;
+/// Bounds of reading the rest of a refused request.
+constexpr Duration LingerTime = std::chrono::seconds(2);
+constexpr std::size_t MaxDiscardedBytes = 64U << 20U;
+constexpr std::size_t DiscardBytes = 16U << 10U;
 /// Status in place of a response that cannot be written.
 constexpr unsigned StatusBadGateway = 502;
 /// Pause after a failed accept, which fails again at once while the process has
@@ -45,10 +49,11 @@
 class HttpServer::Impl : public std::enable_shared_from_this<Impl> {
 public:
   Impl(asio::io_context &Context, HttpServerLimits Limits, Handler Handle,
-       RefusalHook Refuse, InvalidMessageHook ReportInvalid)
+       RefusalHook Refuse, InvalidMessageHook ReportInvalid,
+       std::shared_ptr<MemoryBudget> Memory)
       : Context(Context), Acceptor(Context), AcceptRetry(Context),
         Limits(Limits), Handle(std::move(Handle)), Refuse(std::move(Refuse)),
-        ReportInvalid(std::move(ReportInvalid)) {}
+        ReportInvalid(std::move(ReportInvalid)), Memory(std::move(Memory)) {}
 
   boost::outcome_v2::result<void, std::error_code>
   listen(const std::string &Address);
@@ -67,6 +72,7 @@
   const Handler Handle;
   const RefusalHook Refuse;
   const InvalidMessageHook ReportInvalid;
+  const std::shared_ptr<MemoryBudget> Memory;
   /// No connection is accepted, and open ones are closed after their response.
   bool Stopping = false;
   /// Connections are closed after their next response.
@@ -111,6 +117,11 @@
       Server->ReportInvalid(RemoteAddress, Error);
   }
   void write(HttpResponse Response, bool StayOpen);
+  void onWritten(const beast::error_code &Error, bool StayOpen);
+  /// Reads the rest of a request that is too long, since closing the connection
+  /// with unread bytes would reset it before the client has read the refusal.
+  void discardRequest();
+  void onDiscarded(const beast::error_code &Error, std::size_t Bytes);
   /// Makes the message for write(). Throws if the response cannot be written.
   void makeOutgoing(HttpResponse Response, bool StayOpen);
   void close();
@@ -120,12 +131,17 @@
   const std::string RemoteAddress;
   beast::flat_buffer Buffer;
   std::optional<MessageReader<true>> Reader;
-  http::response<http::string_body> Outgoing;
+  http::response<http::span_body<const char>> Outgoing;
+  /// The bytes of the response that is being written.
+  Payload OutgoingBody;
   std::function<void()> GoneHook;
   asio::steady_timer ReadTimer;
   bool ReadTimedOut = false;
   bool AwaitingRequest = true;
   bool HadRequest = false;
+  /// Bytes of a refused request that are still read.
+  std::size_t BytesToDiscard = 0;
+  bool IsHead = false;
   bool AwaitingResponse = false;
   bool KeepAlive = true;
 };
@@ -190,8 +206,10 @@
 void Session::readRequest() {
   AwaitingRequest = false;
   HadRequest = true;
-  Reader.emplace(Buffer, MessageLimits{Server->Limits.HeaderBytes,
-                                       Server->Limits.BodyBytes});
+  IsHead = false;
+  Reader.emplace(Buffer,
+                 MessageLimits{Server->Limits.HeaderBytes,
+                               Server->Limits.BodyBytes, Server->Memory});
   // A timer is used because the stream's own timeout would close the stream
   // before the refusal is sent.
   Stream.expires_never();
@@ -235,6 +253,7 @@
     return;
   }
   ReadTimer.cancel();
+  IsHead = Reader->message().method() == http::verb::head;
   if (Invalid)
     refuse(*Invalid);
   else
@@ -242,15 +261,16 @@
 }
 
 void Session::onRequest() {
+  KeepAlive = Reader->keepAlive();
   const auto &Message = Reader->message();
   HttpRequest Request{std::string(Message.method_string()),
                       std::string(Message.target()), Reader->takeFields(),
                       Reader->takeBody(), RemoteAddress};
+  Reader.reset();
   if (const auto Invalid = checkRequest(Request)) {
     refuse(*Invalid);
     return;
   }
-  KeepAlive = Reader->keepAlive();
   AwaitingResponse = true;
   Stream.expires_never();
   watchForClose();
@@ -295,7 +315,11 @@
 }
 
 void Session::refuse(const MessageError &Error) {
+  Reader.reset();
   reportInvalid(Error);
+  const bool IsTooLong =
+      Error.Kind == NetError::BodyTooLarge || Error.Kind == NetError::NoMemory;
+  BytesToDiscard = IsTooLong ? MaxDiscardedBytes : 0;
   write(Server->Refuse(Error.Kind), false);
 }
 
@@ -304,12 +328,14 @@
   Outgoing.version(HttpVersion11);
   Outgoing.result(Response.Status);
   insertFields(Response.Headers, Outgoing);
-  Outgoing.body() = std::move(Response.Body);
+  OutgoingBody = std::move(Response.Body);
+  const std::string &Bytes = OutgoingBody;
+  Outgoing.body() = {Bytes.data(), Bytes.size()};
   Outgoing.keep_alive(StayOpen);
   Outgoing.prepare_payload();
   // A response to HEAD keeps its Content-Length, but has no body.
-  if (Reader->message().method() == http::verb::head)
-    Outgoing.body().clear();
+  if (IsHead)
+    Outgoing.body() = {};
 }
 
 void Session::write(HttpResponse Response, bool StayOpen) {
@@ -323,14 +349,46 @@
   http::async_write(Stream, Outgoing,
                     [Self = shared_from_this(),
                      StayOpen](beast::error_code Error, std::size_t /*Bytes*/) {
-                      if (Error || !StayOpen) {
-                        Self->close();
-                        return;
-                      }
-                      Self->waitForRequest();
+                      Self->onWritten(Error, StayOpen);
                     });
 }
 
+void Session::onWritten(const beast::error_code &Error, bool StayOpen) {
+  Outgoing = {};
+  OutgoingBody = {};
+  if (Buffer.size() == 0)
+    Buffer.shrink_to_fit();
+  if (!Error && StayOpen) {
+    waitForRequest();
+    return;
+  }
+  if (Error || BytesToDiscard == 0) {
+    close();
+    return;
+  }
+  beast::error_code Ignored;
+  Stream.socket().shutdown(tcp::socket::shutdown_send, Ignored);
+  Stream.expires_after(LingerTime);
+  discardRequest();
+}
+
+void Session::discardRequest() {
+  Buffer.clear();
+  Stream.async_read_some(
+      Buffer.prepare(DiscardBytes),
+      [Self = shared_from_this()](beast::error_code Error, std::size_t Bytes) {
+        Self->onDiscarded(Error, Bytes);
+      });
+}
+
+void Session::onDiscarded(const beast::error_code &Error, std::size_t Bytes) {
+  BytesToDiscard -= std::min(BytesToDiscard, Bytes);
+  if (Error || BytesToDiscard == 0)
+    close();
+  else
+    discardRequest();
+}
+
 void Session::close() {
   beast::error_code Ignored;
   Stream.socket().shutdown(tcp::socket::shutdown_send, Ignored);
@@ -432,10 +490,11 @@
 
 HttpServer::HttpServer(asio::io_context &Context, HttpServerLimits Limits,
                        Handler Handle, RefusalHook Refuse,
-                       InvalidMessageHook ReportInvalid)
+                       InvalidMessageHook ReportInvalid,
+                       std::shared_ptr<MemoryBudget> Memory)
     : Shared(std::make_shared<Impl>(Context, Limits, std::move(Handle),
-                                    std::move(Refuse),
-                                    std::move(ReportInvalid))) {}
+                                    std::move(Refuse), std::move(ReportInvalid),
+                                    std::move(Memory))) {}
 
 HttpServer::~HttpServer() { Shared->stop(); }
 
--- a/net/http_server.h
+++ b/net/http_server.h
@@ -2,6 +2,7 @@
 /// An HTTP/1.1 server for callers and operators.
 #pragma once
 
+#include "core/memory_budget.h"
 #include "core/time.h"
 #include "net/http_message.h"
 
@@ -52,10 +53,13 @@
   /// Builds the response to a request that could not be read.
   using RefusalHook = std::function<HttpResponse(NetError)>;
 
-  /// \p ReportInvalid may be empty.
+  /// \p ReportInvalid may be empty. \p Memory limits the requests that the
+  /// server holds, from their first byte until the handler has dropped their
+  /// bodies; it may be null.
   HttpServer(boost::asio::io_context &Context, HttpServerLimits Limits,
              Handler Handle, RefusalHook Refuse,
-             InvalidMessageHook ReportInvalid = {});
+             InvalidMessageHook ReportInvalid = {},
+             std::shared_ptr<MemoryBudget> Memory = nullptr);
   ~HttpServer();
   HttpServer(const HttpServer &) = delete;
   HttpServer &operator=(const HttpServer &) = delete;
--- a/net/message_reader.h
+++ b/net/message_reader.h
@@ -2,10 +2,12 @@
 /// Reads one HTTP message in steps.
 #pragma once
 
+#include "core/payload.h"
 #include "net/asio.h"
 
 #include <algorithm>
 #include <exception>
+#include <memory>
 #include <optional>
 #include <string>
 #include <utility>
@@ -19,6 +21,8 @@
   /// chunked body.
   std::size_t HeaderBytes = 0;
   std::size_t BodyBytes = 0;
+  /// Limits the memory of all messages; may be null.
+  std::shared_ptr<MemoryBudget> Memory;
 };
 
 /// Parses a request (\p IsRequest) or a response from the bytes that its owner
@@ -34,11 +38,11 @@
   /// to a HEAD request, ends with its header whatever length it declares.
   MessageReader(beast::flat_buffer &Buffer, const MessageLimits &Limits,
                 bool HasNoBody = false)
-      : Buffer(Buffer), Limits(Limits) {
+      : Buffer(Buffer), Limits(Limits), Reserved(Limits.Memory) {
     constexpr std::size_t MaxHeaderLimit = 64U << 20U;
     Parser.header_limit(static_cast<std::uint32_t>(
         std::min(Limits.HeaderBytes, MaxHeaderLimit)));
-    Parser.body_limit(Limits.BodyBytes);
+    Parser.body_limit(maxBodyBytes());
     Parser.skip(HasNoBody);
   }
 
@@ -73,14 +77,31 @@
   /// dropped, because they must not count as header fields (RFC 9110, section
   /// 6.5.1).
   std::vector<HeaderField> takeFields() { return std::move(Fields); }
-  std::string takeBody() { return std::move(Parser.get().body()); }
+  /// Returns the body, for which the memory of the message stays reserved.
+  Payload takeBody() {
+    std::string Body = std::move(Parser.get().body());
+    // Smaller than before, so that it fits.
+    (void)Reserved.resize(Body.capacity() + HeaderCost);
+    return {std::move(Body), std::move(Reserved)};
+  }
 
 private:
   static constexpr std::size_t HeaderReadBytes = 4U << 10U;
+  static constexpr std::size_t ChunkReadBytes = 16U << 10U;
   static constexpr std::size_t BodyReadBytes = 64U << 10U;
-
-  std::size_t nextReadBytes() const {
-    return Parser.is_header_done() ? BodyReadBytes : HeaderReadBytes;
+  /// Memory of a header field besides its bytes: the parser's copy and ours.
+  static constexpr std::size_t FieldOverheadBytes = 256;
+
+  /// Few bytes beyond the end of the message are read, since they are not
+  /// counted.
+  std::size_t nextReadBytes() {
+    if (!Parser.is_header_done())
+      return HeaderReadBytes;
+    const auto Remaining = Parser.content_length_remaining();
+    if (!Remaining)
+      return ChunkReadBytes;
+    return static_cast<std::size_t>(
+        std::clamp<std::uint64_t>(*Remaining, HeaderReadBytes, BodyReadBytes));
   }
 
   template <typename Step>
@@ -95,6 +116,8 @@
   std::optional<MessageError> parseBuffer() {
     while (!Parser.is_done() && Buffer.size() > 0) {
       const bool HadHeader = Parser.is_header_done();
+      if (!reserveMemory())
+        return noMemory();
       beast::error_code Error;
       Buffer.consume(Parser.put(Buffer.data(), Error));
       if (Error == http::error::need_more)
@@ -117,15 +140,56 @@
                         "a trailer or a line of a chunked body is too long"};
   }
 
+  /// Reserves the memory for what the buffer may add to the message.
+  bool reserveMemory() {
+    if (!Parser.is_header_done())
+      return Reserved.resize(Buffer.capacity());
+    std::string &Body = Parser.get().body();
+    const std::size_t Others = HeaderCost + Buffer.capacity();
+    const std::size_t Needed = Body.size() + Buffer.size();
+    if (Needed > Body.capacity()) {
+      const std::size_t Grown = std::max(Needed, 2 * Body.capacity());
+      // Both copies exist while the body grows.
+      if (!Reserved.resize(Others + Grown + Body.capacity()))
+        return false;
+      Body.reserve(Grown);
+    }
+    return Reserved.resize(Others + Body.capacity());
+  }
+
+  static MessageError noMemory() {
+    return {NetError::NoMemory, "other messages hold the memory"};
+  }
+
   std::optional<MessageError> onHeader() {
     Fields = copyFields(Parser.get());
     KeepAlive = Parser.get().keep_alive();
-    // Beast 1.74 does not check the declared length of a response.
+    for (const HeaderField &Field : Fields)
+      HeaderCost += FieldOverheadBytes + Field.Name.size() + Field.Value.size();
+    if (Parser.is_done())
+      return std::nullopt;
+    return reserveBody();
+  }
+
+  /// Reserves the memory for a body whose length is known.
+  std::optional<MessageError> reserveBody() {
     const auto Length = Parser.content_length();
-    if (Parser.is_done() || !Length || *Length <= Limits.BodyBytes)
+    if (!Length)
       return std::nullopt;
-    return MessageError{NetError::BodyTooLarge,
-                        "the declared length exceeds the limit"};
+    // Beast 1.74 does not check the declared length of a response.
+    if (*Length > maxBodyBytes())
+      return MessageError{NetError::BodyTooLarge,
+                          "the declared length exceeds the limit"};
+    if (!Reserved.resize(HeaderCost + Buffer.capacity() + *Length))
+      return noMemory();
+    Parser.get().body().reserve(*Length);
+    return std::nullopt;
+  }
+
+  std::size_t maxBodyBytes() const {
+    return Limits.Memory
+               ? std::min(Limits.BodyBytes, Limits.Memory->largestMessage())
+               : Limits.BodyBytes;
   }
 
   static MessageError toMessageError(const beast::error_code &Error) {
@@ -141,6 +205,9 @@
   http::parser<IsRequest, http::string_body> Parser;
   std::vector<HeaderField> Fields;
   bool KeepAlive = false;
+  MemoryReservation Reserved;
+  /// Memory of the header section in bytes.
+  std::size_t HeaderCost = 0;
 };
 
 } // namespace mimosacart
--- a/net/peer_transport.cpp
+++ b/net/peer_transport.cpp
@@ -16,8 +16,6 @@
 
 /// Maximum number of messages queued per connection.
 constexpr int QueueLimit = 20'000;
-/// Largest message accepted from a peer: a request body plus its headers.
-constexpr std::int64_t MaxMessageBytes = std::int64_t(80) << 20;
 /// How long a closed socket may still send its queued messages.
 constexpr int LingerMs = 200;
 /// Pauses between attempts to connect to a peer: the first and the longest.
@@ -51,8 +49,9 @@
 class PeerTransport::Impl {
 public:
   Impl(asio::io_context &Io, ReceiveHook HandleMessage,
-       BadAddressHook ReportBadAddress)
-      : Io(Io), HandleMessage(std::move(HandleMessage)),
+       BadAddressHook ReportBadAddress, std::size_t MaxMessageBytes)
+      : Io(Io), MaxMessageBytes(static_cast<std::int64_t>(MaxMessageBytes)),
+        HandleMessage(std::move(HandleMessage)),
         ReportBadAddress(std::move(ReportBadAddress)), Context(1),
         Inbound(Context, zmq::socket_type::pull), Readable(Io), RetryTimer(Io) {
   }
@@ -230,6 +229,7 @@
   }
 
   asio::io_context &Io;
+  const std::int64_t MaxMessageBytes;
   const ReceiveHook HandleMessage;
   const BadAddressHook ReportBadAddress;
   zmq::context_t Context;
@@ -243,9 +243,11 @@
 
 PeerTransport::PeerTransport(asio::io_context &Context,
                              ReceiveHook HandleMessage,
-                             BadAddressHook ReportBadAddress)
+                             BadAddressHook ReportBadAddress,
+                             std::size_t MaxMessageBytes)
     : Implementation(std::make_unique<Impl>(Context, std::move(HandleMessage),
-                                            std::move(ReportBadAddress))) {}
+                                            std::move(ReportBadAddress),
+                                            MaxMessageBytes)) {}
 
 PeerTransport::~PeerTransport() = default;
 
--- a/net/peer_transport.h
+++ b/net/peer_transport.h
@@ -43,9 +43,14 @@
   using BadAddressHook =
       std::function<void(const std::string &Address, const std::string &Why)>;
 
-  /// \p ReportBadAddress may be empty.
+  /// Limit on a message: a request body plus its headers.
+  static constexpr std::size_t DefaultMaxMessageBytes = 80U << 20U;
+
+  /// \p ReportBadAddress may be empty. A peer that sends a message of more than
+  /// \p MaxMessageBytes is disconnected.
   PeerTransport(boost::asio::io_context &Context, ReceiveHook HandleMessage,
-                BadAddressHook ReportBadAddress = {});
+                BadAddressHook ReportBadAddress = {},
+                std::size_t MaxMessageBytes = DefaultMaxMessageBytes);
   ~PeerTransport();
   PeerTransport(const PeerTransport &) = delete;
   PeerTransport &operator=(const PeerTransport &) = delete;
--- a/settings/host_settings.cpp
+++ b/settings/host_settings.cpp
@@ -9,6 +9,8 @@
 constexpr IntegerRange MillisecondRange{10, 3'600'000};
 constexpr IntegerRange ByteRange{1024, std::int64_t(64) << 20};
 constexpr IntegerRange CountRange{1, 1'000'000};
+constexpr IntegerRange MegabyteRange{64, 1'000'000};
+constexpr unsigned MegabyteBits = 20;
 
 Duration readMilliseconds(TableReader &Reader, std::string_view Key,
                           Duration Default) {
@@ -32,6 +34,10 @@
                                    "digits, '-' and '_'",
                                    Result.Name.value()));
   Result.DataCentre = Reader.readRequiredString("data_centre");
+  Result.MemoryBytes =
+      readSize(Reader, "memory_mb", Result.MemoryBytes >> MegabyteBits,
+               MegabyteRange)
+      << MegabyteBits;
   Reader.reportUnknownKeys();
 }
 
--- a/settings/host_settings.h
+++ b/settings/host_settings.h
@@ -53,6 +53,9 @@
 struct HostSettings {
   HostName Name;
   std::string DataCentre;
+  /// Memory that the process may use, in bytes. Bounds the messages that it
+  /// holds.
+  std::size_t MemoryBytes = std::size_t(512) << 20U;
   std::string CallerAddress;
   std::string PeerAddress;
   std::string AdminAddress;
--- a/soak/soak.cpp
+++ b/soak/soak.cpp
@@ -249,7 +249,7 @@
   const std::string Id = Checker.addRequest(std::move(Request)).Id;
   CallerClient.call(std::move(Call), [this, Id](const HttpResult &Result) {
     if (Result.has_value())
-      Checker.onRequestEnded(Id, Result.value().Status, Result.value().Body,
+      Checker.onRequestEnded(Id, Result.value().Status, Result.value().Body.bytes(),
                              false);
     else
       Checker.onRequestEnded(Id, 0, "",
--- a/tests/net/http_client_test.cpp
+++ b/tests/net/http_client_test.cpp
@@ -347,7 +347,8 @@
 TEST(HttpClientMemoryTest, responses_togetherOverLimit_someAreBroken) {
   constexpr std::size_t MaxBodyBytes = 1U << 20U;
   asio::io_context Context;
-  HttpClient Http(Context, MaxBodyBytes, 2 * MaxBodyBytes);
+  HttpClient Http(Context, MaxBodyBytes,
+                  std::make_shared<MemoryBudget>(2 * MaxBodyBytes));
   const std::string Head =
       "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(MaxBodyBytes) +
       "\r\n\r\n";
--- a/tests/net/http_server_test.cpp
+++ b/tests/net/http_server_test.cpp
@@ -35,7 +35,7 @@
         Context, Limits,
         [](const HttpRequest &Request,
            const std::shared_ptr<HttpExchange> &Exchange) {
-          Exchange->respond({200, {}, "echo:" + Request.Body});
+          Exchange->respond({200, {}, "echo:" + Request.Body.bytes()});
         },
         toRefusal);
     for (unsigned Port = 9'000; Port < 9'900; ++Port) {
--- a/tests/net/invalid_message_test.cpp
+++ b/tests/net/invalid_message_test.cpp
@@ -195,7 +195,7 @@
 class InvalidResponseTest : public testing::Test {
 protected:
   InvalidResponseTest()
-      : Http(Context, 1U << 20U, 4U << 20U,
+      : Http(Context, 1U << 20U, nullptr,
              [this](const std::string &, const MessageError &Error) {
                Reasons.push_back(Error.Reason);
              }) {}
--- a/tests/platform/http_codec_test.cpp
+++ b/tests/platform/http_codec_test.cpp
@@ -206,7 +206,7 @@
 TEST(HttpCodecTest, writeDirectory_addressNotUtf8_othersAreListed) {
   const HttpResponse Response =
       writeDirectory({"10.0.0.1:80", "\xff"}, std::chrono::seconds(1), 0);
-  EXPECT_NE(Response.Body.find("10.0.0.1:80"), std::string::npos);
+  EXPECT_NE(Response.Body.bytes().find("10.0.0.1:80"), std::string::npos);
 }
 
 TEST(HttpCodecTest, writeDirectory_longList_isCoveredByConsecutiveResponses) {
@@ -215,7 +215,7 @@
     Addresses.push_back("10.0.0." + std::to_string(Number) + ":80");
   std::string Bodies;
   for (std::uint64_t ResponseNumber = 7; ResponseNumber < 10; ++ResponseNumber)
-    Bodies += writeDirectory(Addresses, 1s, ResponseNumber).Body;
+    Bodies += writeDirectory(Addresses, 1s, ResponseNumber).Body.bytes();
   for (const std::string &Address : Addresses)
     EXPECT_NE(Bodies.find('"' + Address + '"'), std::string::npos) << Address;
 }
--- a/tests/process/process_fleet.cpp
+++ b/tests/process/process_fleet.cpp
@@ -326,7 +326,7 @@
   std::vector<ListedEntry> Result;
   if (!Response)
     return Result;
-  const auto Value = nlohmann::json::parse(Response->Body, nullptr, false);
+  const auto Value = nlohmann::json::parse(Response->Body.bytes(), nullptr, false);
   if (Value.is_discarded())
     return Result;
   for (const auto &Each : Value["entries"])
@@ -346,7 +346,7 @@
                              std::chrono::seconds(1));
   if (!Response)
     return {};
-  return nlohmann::json::parse(Response->Body, nullptr, false);
+  return nlohmann::json::parse(Response->Body.bytes(), nullptr, false);
 }
 
 void ProcessFleet::controlPlatform(const std::string &Body) {
--- a/tests/settings/settings_test.cpp
+++ b/tests/settings/settings_test.cpp
@@ -57,12 +57,25 @@
   EXPECT_EQ(Lines[1], "host.toml:3:15: host.data_centre: found an integer, "
                       "expected a string");
   EXPECT_EQ(Lines[2], "host.toml:4:1: host.colour: unknown key, expected one "
-                      "of data_centre, name");
+                      "of data_centre, memory_mb, name");
   EXPECT_EQ(Lines[5],
             "host.toml:11:11: platform.poll_ms: found 1, expected 10 to "
             "3600000");
 }
 
+TEST(HostSettingsTest, parse_memory_isReadInMegabytesAndChecked) {
+  const std::string Rest = "name = \"a\"\ndata_centre = \"b\"\n[listen]\n"
+                           "callers = \"127.0.0.1:1\"\n"
+                           "peers = \"127.0.0.1:2\"\nadmin = \"127.0.0.1:3\"\n"
+                           "[platform]\naddress = \"127.0.0.1:4\"\n";
+  const auto Read =
+      parseHostSettings("[host]\nmemory_mb = 650\n" + Rest, "host.toml");
+  ASSERT_TRUE(Read.has_value());
+  EXPECT_EQ(Read.value().MemoryBytes, std::size_t(650) << 20U);
+  EXPECT_TRUE(parseHostSettings("[host]\nmemory_mb = 0\n" + Rest, "host.toml")
+                  .has_error());
+}
+
 TEST(HostSettingsTest, parse_syntaxError_reportsItsPosition) {
   const auto Parsed = parseHostSettings("[host\n", "f");
   ASSERT_TRUE(Parsed.has_error());
--- a/tests/standins/load_tool.cpp
+++ b/tests/standins/load_tool.cpp
@@ -271,7 +271,7 @@
                                               : "server-error";
       // A caller gets the answer to its own request or none.
       if (Outcome == "answered" &&
-          Result.value().Body.rfind(Sent->Request.Target + ' ', 0) != 0)
+          Result.value().Body.bytes().rfind(Sent->Request.Target + ' ', 0) != 0)
         Outcome = "WRONG-ANSWER";
     }
     const bool Unclear =
--- a/tests/standins/server_standin.cpp
+++ b/tests/standins/server_standin.cpp
@@ -155,7 +155,7 @@
   void run(const JobPtr &Next) {
     ++Running;
     record(*Next, "run");
-    if (Next->Request.Body.find("CRASH") != std::string::npos)
+    if (Next->Request.Body.bytes().find("CRASH") != std::string::npos)
       ::_exit(1);
     Next->Timer = std::make_unique<asio::steady_timer>(
         Context, serviceTime(Next->Request));
@@ -176,8 +176,8 @@
     }
     const auto Taken = std::chrono::duration_cast<std::chrono::microseconds>(
         SteadyClock::now() - Done.ArrivedAt);
-    HttpResponse Response =
-        make(200, fmt::format("{} {}", Done.Request.Target, Done.Request.Body));
+    HttpResponse Response = make(200, fmt::format("{} {}", Done.Request.Target,
+                                                  Done.Request.Body.bytes()));
     Response.Headers.push_back({"Standin-Server", FLAGS_name});
     Response.Headers.push_back(
         {"Standin-Service-Us", std::to_string(Taken.count())});
--- a/tests/support/describe.cpp
+++ b/tests/support/describe.cpp
@@ -25,7 +25,8 @@
   return fmt::format("reply request={} status={} outcome={} reason={} body={}",
                      Value.Reply.Id.value(), Reply.Status,
                      Outcome ? toString(*Outcome) : "answered",
-                     toString(Value.Reply.Reason), Outcome ? "" : Reply.Body);
+                     toString(Value.Reply.Reason),
+                     Outcome ? "" : Reply.Body.bytes());
 }
 
 std::string formatAction(const SendToPeer &Value) {
--- a/tests/support/node_fleet.cpp
+++ b/tests/support/node_fleet.cpp
@@ -362,7 +362,7 @@
     Executions.push_back({Call.Server.Name.value(), Request.Target,
                           Request.Key.value_or(""), Now});
     const bool Breaks = Server.Mode == "break" ||
-                        Request.Body.find("CRASH") != std::string::npos;
+                        Request.Body.bytes().find("CRASH") != std::string::npos;
     schedule(Server.ServiceTime(Request),
              [this, Name, Incarnation, Id, Call, Breaks] {
                FakeServer &CalledServer = Servers.at(Call.Server.Name.value());
@@ -374,7 +374,7 @@
                Answer Reply{200,
                             {},
                             fmt::format("{} {}", Call.Request->Target,
-                                        Call.Request->Body)};
+                                        Call.Request->Body.bytes())};
                answerCall(Name, Incarnation, Id,
                           {CallEnd::Answered,
                            std::make_shared<const Answer>(std::move(Reply))});
--- a/wire/peer_codec.cpp
+++ b/wire/peer_codec.cpp
@@ -25,7 +25,7 @@
   To.set_target(From.Target);
   for (const HeaderField &Field : From.Headers)
     write(Field, *To.add_headers());
-  To.set_body(From.Body);
+  To.set_body(From.Body.bytes());
   if (From.Key)
     To.set_key(*From.Key);
   if (From.Token)
@@ -60,7 +60,7 @@
   To.set_status(From.Status);
   for (const HeaderField &Field : From.Headers)
     write(Field, *To.add_headers());
-  To.set_body(From.Body);
+  To.set_body(From.Body.bytes());
 }
 
 AnswerPtr read(const wire::Answer &From) {
