Keep requests in the socket until a planned stop can see them

Change: an idle connection only waits for readability; its bytes stay in the socket until the handler runs, so the check of the socket sees them. A connection whose response was being written when the stop began is closed after it, like other idle ones, and not left open until its next request.

--- a/net/http_server.cpp
+++ b/net/http_server.cpp
@@ -104,6 +104,8 @@
 
 private:
   void waitForRequest();
+  void closeIfIdleAfter(Duration Wait);
+  bool hasUnreadBytes() const;
   void readRequest();
   void readMore();
   void onRead(const beast::error_code &Error, std::size_t Bytes);
@@ -162,44 +164,50 @@
 }
 
 void Session::closeIfIdle() {
-  if (!AwaitingRequest)
+  if (!AwaitingRequest || hasUnreadBytes())
     return;
-  beast::error_code Error;
-  if (Stream.socket().available(Error) > 0)
-    return;
-  if (HadRequest) {
+  if (HadRequest)
     close();
-    return;
-  }
-  ReadTimer.expires_after(LastRequestWait);
-  ReadTimer.async_wait([Self = shared_from_this()](beast::error_code Failure) {
-    if (!Failure && Self->AwaitingRequest)
+  else
+    closeIfIdleAfter(LastRequestWait);
+}
+
+void Session::closeIfIdleAfter(Duration Wait) {
+  ReadTimer.expires_after(Wait);
+  ReadTimer.async_wait([Self = shared_from_this()](beast::error_code Error) {
+    if (!Error && Self->AwaitingRequest && !Self->hasUnreadBytes())
       Self->close();
   });
 }
 
+bool Session::hasUnreadBytes() const {
+  beast::error_code Ignored;
+  return Stream.socket().available(Ignored) > 0;
+}
+
 void Session::waitForRequest() {
-  AwaitingRequest = true;
-  if (Server->Stopping && HadRequest) {
-    close();
-    return;
-  }
   if (Buffer.size() > 0) {
     readRequest();
     return;
   }
-  constexpr std::size_t FirstReadBytes = 4096;
-  Stream.expires_after(Server->Stopping ? LastRequestWait
-                                        : Server->Limits.IdleTimeout);
-  Stream.async_read_some(
-      Buffer.prepare(FirstReadBytes),
-      [Self = shared_from_this()](beast::error_code Error, std::size_t Bytes) {
-        if (Error) {
+  AwaitingRequest = true;
+  const bool IsEnding = Server->Stopping || Server->Draining;
+  if (IsEnding && HadRequest && !hasUnreadBytes()) {
+    close();
+    return;
+  }
+  closeIfIdleAfter(Server->Stopping ? LastRequestWait
+                                    : Server->Limits.IdleTimeout);
+  Stream.expires_never();
+  // The bytes stay in the socket until the handler runs. Bytes that a pending
+  // read had taken would be invisible to closeIfIdle().
+  Stream.socket().async_wait(
+      tcp::socket::wait_read,
+      [Self = shared_from_this()](beast::error_code Error) {
+        if (Error)
           Self->close();
-          return;
-        }
-        Self->Buffer.commit(Bytes);
-        Self->readRequest();
+        else
+          Self->readRequest();
       });
 }
 
@@ -390,6 +398,7 @@
 }
 
 void Session::close() {
+  ReadTimer.cancel();
   beast::error_code Ignored;
   Stream.socket().shutdown(tcp::socket::shutdown_send, Ignored);
   Stream.close();
--- a/tests/net/http_server_test.cpp
+++ b/tests/net/http_server_test.cpp
@@ -361,6 +361,46 @@
   EXPECT_TRUE(IsClosed);
 }
 
+/// A planned stop after some handlers have run since the second request of a
+/// connection arrived.
+class HttpServerStopStepTest : public HttpServerStopTest,
+                               public testing::WithParamInterface<unsigned> {
+protected:
+  void arriveAndRunSteps() {
+    Context.run_for(50ms);
+    sendRequest();
+    Context.restart();
+    Context.run_for(50ms);
+    sendRequest();
+    Context.restart();
+    for (unsigned Step = 0; Step < GetParam(); ++Step)
+      Context.poll_one();
+  }
+  void expectBothAnswered() {
+    const std::string Answers = runAndRead();
+    const std::size_t First = Answers.find("served");
+    EXPECT_NE(Answers.find("served", First + 1), std::string::npos);
+    EXPECT_TRUE(IsClosed);
+  }
+};
+
+// Guards against a planned stop that closes a connection whose request has been
+// read from the socket, but not handled yet, and is then run without an answer.
+TEST_P(HttpServerStopStepTest, drain_requestArrived_isAnswered) {
+  arriveAndRunSteps();
+  Server.drain();
+  expectBothAnswered();
+}
+
+TEST_P(HttpServerStopStepTest, stop_requestArrived_isAnswered) {
+  arriveAndRunSteps();
+  Server.stop();
+  expectBothAnswered();
+}
+
+INSTANTIATE_TEST_SUITE_P(EveryStep, HttpServerStopStepTest,
+                         testing::Range(0U, 6U));
+
 TEST_F(HttpServerStopTest, stop_connectionIdle_isClosed) {
   Context.run_for(50ms);
   sendRequest();
