Refuse transfer codings other than chunked

Cause: Beast takes a request whose codings do not end in "chunked" for one without a body (RFC 9112, section 6.3, demands 400 and a closed connection), and the rest of the connection for further requests. Related: "gzip, chunked" was passed on without its coding, in requests and answers, so that bodies arrived changed.

Change: MessageReader accepts one Transfer-Encoding field, "chunked", in HTTP/1.1 only. Other requests are refused with 400 and their connections closed; other answers break their call.

--- a/net/message_reader.h
+++ b/net/message_reader.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "core/payload.h"
+#include "core/text.h"
 #include "net/asio.h"
 
 #include <algorithm>
@@ -86,6 +87,7 @@
   }
 
 private:
+  static constexpr unsigned HttpVersion11 = 11;
   static constexpr std::size_t HeaderReadBytes = 4U << 10U;
   static constexpr std::size_t ChunkReadBytes = 16U << 10U;
   static constexpr std::size_t BodyReadBytes = 64U << 10U;
@@ -166,11 +168,33 @@
     KeepAlive = Parser.get().keep_alive();
     for (const HeaderField &Field : Fields)
       HeaderCost += FieldOverheadBytes + Field.Name.size() + Field.Value.size();
+    if (const auto Invalid = checkTransferEncoding())
+      return Invalid;
     if (Parser.is_done())
       return std::nullopt;
     return reserveBody();
   }
 
+  /// Beast takes a request whose transfer codings do not end in `chunked` for
+  /// one without a body, and its body for the next request. Other codings than
+  /// `chunked` are not decoded here, so that bodies would be passed on changed.
+  std::optional<MessageError> checkTransferEncoding() const {
+    const auto IsTransferEncoding = [](const HeaderField &Field) {
+      return equalsIgnoringCase(Field.Name, "Transfer-Encoding");
+    };
+    const auto Found =
+        std::find_if(Fields.begin(), Fields.end(), IsTransferEncoding);
+    if (Found == Fields.end())
+      return std::nullopt;
+    const bool IsHttp11 = Parser.get().version() == HttpVersion11;
+    const bool IsOnlyChunked =
+        equalsIgnoringCase(Found->Value, "chunked") &&
+        std::count_if(Fields.begin(), Fields.end(), IsTransferEncoding) == 1;
+    if (IsHttp11 && IsOnlyChunked)
+      return std::nullopt;
+    return MessageError{NetError::Malformed, "unsupported Transfer-Encoding"};
+  }
+
   /// Reserves the memory for a body whose length is known.
   std::optional<MessageError> reserveBody() {
     const auto Length = Parser.content_length();
--- a/tests/net/invalid_message_test.cpp
+++ b/tests/net/invalid_message_test.cpp
@@ -190,6 +190,50 @@
   EXPECT_EQ(findField(Received.Headers, "X-Request-Id"), nullptr);
 }
 
+/// Values of Transfer-Encoding, after which the length of a message cannot be
+/// known or its body cannot be passed on as it is.
+class TransferEncodingTest : public InvalidRequestTest,
+                             public testing::WithParamInterface<const char *> {
+};
+
+// Guards against a request that is smuggled in the body of another (RFC 9112,
+// section 6.3).
+TEST_P(TransferEncodingTest, request_unsupportedCoding_isRefusedAndClosed) {
+  start({});
+  const std::string Inner = "POST /inner HTTP/1.1\r\nHost: a\r\n\r\n";
+  for (const std::string Length : {"", "Content-Length: 40\r\n"}) {
+    Reasons.clear();
+    const std::string Answers =
+        exchange("POST / HTTP/1.1\r\nHost: a\r\n" + Length +
+                 "Transfer-Encoding: " + GetParam() + "\r\n\r\n" + Inner);
+    EXPECT_EQ(Answers.substr(0, 12), "HTTP/1.1 400");
+    EXPECT_EQ(Answers.find("HTTP/1.1", 1), std::string::npos);
+    EXPECT_EQ(Reasons.size(), 1U);
+  }
+  EXPECT_TRUE(isNeighbourServed());
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Codings, TransferEncodingTest,
+    testing::Values("identity", "xchunked", "gzip", "chunked, gzip",
+                    "gzip, chunked", "chunked;q=1", "\"chunked\"", "",
+                    "identity\r\nTransfer-Encoding: chunked",
+                    "chunked\r\nTransfer-Encoding: identity"));
+
+TEST_F(InvalidRequestTest, request_chunkedInHttp10_isRefused) {
+  start({});
+  expectRefused("POST / HTTP/1.0\r\nHost: a\r\n"
+                "Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n");
+}
+
+TEST_F(InvalidRequestTest, request_chunkedInAnyCase_isServed) {
+  start({});
+  EXPECT_EQ(exchange("POST / HTTP/1.1\r\nHost: a\r\nConnection: close\r\n"
+                     "transfer-encoding:  Chunked \r\n\r\n0\r\n\r\n")
+                .substr(0, 12),
+            "HTTP/1.1 200");
+}
+
 /// A client that calls a server with a set response, and a neighbour's call in
 /// progress at another server.
 class InvalidResponseTest : public testing::Test {
@@ -263,6 +307,13 @@
                    "\r\n\r\n");
 }
 
+// The body would be passed on without its coding.
+TEST_F(InvalidResponseTest, response_unsupportedCoding_onlyItsCallIsBroken) {
+  expectBroken(
+      {"GET", "/", {}, "", ""},
+      makeChunked("HTTP/1.1 200 OK\r\nTransfer-Encoding: gzip\r\n", "A: b"));
+}
+
 TEST_F(InvalidResponseTest, request_cannotBeWritten_onlyItsCallIsBroken) {
   expectBroken({"TRACE", "/", {}, "a body", ""}, "");
 }
