Soak hosts with peers that send without end

Callers that send heads, bodies, chunks, trailers and pipelined requests without end, and a server whose answers have no end, join every run; each host has 128 MB, checked by its peak of resident memory.

--- a/soak/host_process.cpp
+++ b/soak/host_process.cpp
@@ -2,6 +2,7 @@
 
 #include <csignal>
 #include <fcntl.h>
+#include <fstream>
 #include <stdexcept>
 #include <sys/prctl.h>
 #include <sys/wait.h>
@@ -64,4 +65,17 @@
   return false;
 }
 
+std::size_t HostProcess::peakMemoryMb() const {
+  constexpr std::size_t KilobytesPerMegabyte = 1024;
+  if (ProcessId <= 0)
+    return 0;
+  std::ifstream Status("/proc/" + std::to_string(ProcessId) + "/status");
+  std::string Word;
+  std::size_t Kilobytes = 0;
+  while (Status >> Word)
+    if (Word == "VmHWM:" && Status >> Kilobytes)
+      return Kilobytes / KilobytesPerMegabyte;
+  return 0;
+}
+
 } // namespace mimosacart
--- a/soak/host_process.h
+++ b/soak/host_process.h
@@ -2,6 +2,7 @@
 /// A real `mimosacartd` process that the soak starts, signals and restarts.
 #pragma once
 
+#include <cstddef>
 #include <string>
 #include <sys/types.h>
 
@@ -23,6 +24,9 @@
   void signal(int Signal) const;
   /// Whether the process runs. If it has ended, reaps it and stores its status.
   bool running();
+  /// Largest resident memory of the running process, in megabytes; 0 if none
+  /// runs.
+  std::size_t peakMemoryMb() const;
   /// Exit status of the last process that ended, in the form of waitpid().
   int lastStatus() const { return LastStatus; }
 
--- a/soak/main.cpp
+++ b/soak/main.cpp
@@ -11,6 +11,10 @@
 DEFINE_uint64(seconds, 20, "length of each run in seconds");
 DEFINE_uint64(hosts, 3, "number of entry hosts");
 DEFINE_double(rate, 80, "requests per second");
+DEFINE_uint64(memory_mb, 128, "memory that each host may use");
+DEFINE_bool(tell_memory, true, "whether the hosts are told of it");
+DEFINE_uint64(endless, 3,
+              "connections to each host on which callers send without end");
 DEFINE_string(program, "build/daemon/mimosacartd", "path of mimosacartd");
 DEFINE_string(folder, "build/soak-out",
               "folder for the hosts' settings files and logs");
@@ -29,6 +33,9 @@
     Options.Length = std::chrono::seconds(FLAGS_seconds);
     Options.HostCount = FLAGS_hosts;
     Options.RequestsPerSecond = FLAGS_rate;
+    Options.MemoryMb = FLAGS_memory_mb;
+    Options.TellMemory = FLAGS_tell_memory;
+    Options.EndlessCallers = FLAGS_endless;
     Options.Program = FLAGS_program;
     Options.Folder = fmt::format("{}/{}", FLAGS_folder, Seed);
     Soak Run(Options);
@@ -37,10 +44,12 @@
       fmt::print("broken {}\n", Violation);
     const PromiseChecker &Checker = Run.checker();
     fmt::print("seed {}: {} requests, {} served, {} at limited servers, {} "
-               "pauses, {} answers of leaving servers, {} promises broken\n",
+               "pauses, {} answers of leaving servers, peak of {} MB, {} "
+               "promises broken\n",
                Seed, Checker.requestCount(), Checker.servedCount(),
                Checker.wishes().limitedArrivals(), Checker.wishes().pauses(),
-               Checker.wishes().leavingAnswers(), Violations.size());
+               Checker.wishes().leavingAnswers(), Run.peakMemoryMb(),
+               Violations.size());
     AllPromisesKept = AllPromisesKept && Violations.empty();
   }
   return AllPromisesKept ? 0 : 1;
--- a/soak/promises.h
+++ b/soak/promises.h
@@ -75,6 +75,10 @@
   /// From \p From on, reports each request that \p Server executes, unless a
   /// fault affected the entry host of the request.
   void forbidServer(const std::string &Server, SoakTime From);
+  /// Records a violation that the soak itself has found.
+  void addViolation(std::string Description) {
+    Violations.push_back(std::move(Description));
+  }
   void addDisturbance(Disturbance Added) {
     Disturbances.push_back(std::move(Added));
   }
--- a/soak/soak.cpp
+++ b/soak/soak.cpp
@@ -16,6 +16,9 @@
 namespace {
 
 constexpr const char *ReadService = "records";
+/// Service whose only server answers without end.
+constexpr const char *EndlessService = "endless";
+constexpr std::size_t MaxBodyBytes = 64U << 20U;
 constexpr unsigned FirstPort = 18080;
 /// Time at the start and at the end of a run in which no fault begins. A fault
 /// that began earlier may last into the end.
@@ -154,6 +157,8 @@
         {"rows",
          {{"read", "soak.example", "/read/", "safe", Timeout, "500ms", 1,
            ReadService, 2},
+          {"endless", "soak.example", "/endless/", "safe", Timeout, "500ms", 2,
+           EndlessService, 2},
           {"once", "soak.example", "/once/", "unsafe", Timeout, "500ms", 0,
            NewOnceService, 2}}}}},
       {"services",
@@ -161,8 +166,12 @@
         {"rows",
          {{ReadService, "/health", 100},
           {"ledger", "/health", 100},
-          {"archive", "/health", 100}}}}},
-      {"limits", {{"headerTimeout", "3000ms"}, {"idleTimeout", "15000ms"}}}};
+          {"archive", "/health", 100},
+          {EndlessService, "/health", 100}}}}},
+      {"limits",
+       {{"headerTimeout", "3000ms"},
+        {"idleTimeout", "15000ms"},
+        {"maxBodyBytes", MaxBodyBytes}}}};
   Store.put("op", "config", Configuration.dump());
 }
 
@@ -183,11 +192,14 @@
   PeerSeeds.push_back(allocateAddress());
   std::ofstream File(Path);
   File << fmt::format(
-      "[host]\nname = \"{}\"\ndata_centre = \"here\"\n[listen]\n"
+      "[host]\nname = \"{}\"\ndata_centre = \"here\"\n{}[listen]\n"
       "callers = \"{}\"\npeers = \"{}\"\nadmin = \"{}\"\n[platform]\n"
       "address = \"{}\"\n[peers]\nseeds = [\"{}\"]\n[direct]\n"
       "directory = \"{}\"\nreadiness = \"{}\"\nstop_grace = \"4s\"\n",
-      Name, Host.CallerAddress, PeerSeeds.back(), allocateAddress(),
+      Name,
+      Options.TellMemory ? fmt::format("memory_mb = {}\n", Options.MemoryMb)
+                         : "",
+      Host.CallerAddress, PeerSeeds.back(), allocateAddress(),
       StoreProxyAddress, fmt::join(PeerSeeds, "\", \""), allocateAddress(),
       allocateAddress());
   File.close();
@@ -203,6 +215,7 @@
   watchProcesses();
   scheduleFaults();
   scheduleWishes();
+  scheduleEndlessPeers();
   // The last change of the configuration. Every host must apply it when
   // RecoveredBeforeEnd is left of the run.
   runAfter(std::chrono::duration_cast<std::chrono::milliseconds>(
@@ -249,8 +262,8 @@
   const std::string Id = Checker.addRequest(std::move(Request)).Id;
   CallerClient.call(std::move(Call), [this, Id](const HttpResult &Result) {
     if (Result.has_value())
-      Checker.onRequestEnded(Id, Result.value().Status, Result.value().Body.bytes(),
-                             false);
+      Checker.onRequestEnded(Id, Result.value().Status,
+                             Result.value().Body.bytes(), false);
     else
       Checker.onRequestEnded(Id, 0, "",
                              Result.error() == NetError::ConnectFailed);
@@ -261,6 +274,7 @@
 void Soak::watchProcesses() {
   for (std::size_t Index = 0; Index < Hosts.size(); ++Index) {
     EntryHost &Host = Hosts[Index];
+    checkMemory(Index);
     if (Host.Process->running() || !Host.RestartWhenEnded)
       continue;
     Host.RestartWhenEnded = false;
@@ -273,6 +287,43 @@
   runAfter(20ms, [this] { watchProcesses(); });
 }
 
+void Soak::checkMemory(std::size_t Index) {
+  const std::size_t Peak = Hosts[Index].Process->peakMemoryMb();
+  PeakMemoryMb = std::max(PeakMemoryMb, Peak);
+  if (Peak <= Options.MemoryMb)
+    return;
+  Checker.addViolation(fmt::format("MEMORY: host {} has held {} MB of {} MB",
+                                   Index, Peak, Options.MemoryMb));
+  // The platform kills such a process.
+  Hosts[Index].Process->signal(SIGKILL);
+}
+
+/// The callers stop before the end of the run, which must be calm.
+void Soak::scheduleEndlessPeers() {
+  if (Options.EndlessCallers == 0)
+    return;
+  const std::string Address = allocateAddress();
+  AnswersWithoutEnd = std::make_unique<EndlessServer>(Context, Options.Seed);
+  if (!AnswersWithoutEnd->listen(Address))
+    throw std::runtime_error("cannot listen on server address " + Address);
+  ServerInstance Entry;
+  Entry.Service = EndlessService;
+  Entry.Id = "i-endless";
+  Entry.ProxyAddress = Address;
+  registerServer(Entry, "ready");
+  std::vector<std::string> Addresses;
+  for (const EntryHost &Host : Hosts)
+    Addresses.push_back(Host.CallerAddress);
+  RequestsWithoutEnd = std::make_unique<EndlessCallers>(
+      Context, std::move(Addresses), Options.EndlessCallers, Options.Seed);
+  runAfter(
+      std::chrono::duration_cast<std::chrono::milliseconds>(FaultFreeStart),
+      [this] { RequestsWithoutEnd->start(); });
+  runAfter(std::chrono::duration_cast<std::chrono::milliseconds>(
+               Options.Length - FaultFreeEnd),
+           [this] { RequestsWithoutEnd->stop(); });
+}
+
 void Soak::scheduleFaults() {
   const auto FaultPeriod =
       std::chrono::duration_cast<std::chrono::milliseconds>(
--- a/soak/soak.h
+++ b/soak/soak.h
@@ -4,6 +4,7 @@
 #pragma once
 
 #include "net/http_client.h"
+#include "soak/endless_peers.h"
 #include "soak/fault_proxy.h"
 #include "soak/host_process.h"
 #include "soak/promises.h"
@@ -25,6 +26,12 @@
   /// Number of entry hosts.
   std::size_t HostCount = 3;
   double RequestsPerSecond = 80;
+  /// Memory that each host may use, in megabytes.
+  std::size_t MemoryMb = 128;
+  /// Whether the hosts are told of it.
+  bool TellMemory = true;
+  /// Connections to each host on which callers send without end.
+  std::size_t EndlessCallers = 3;
   /// Path of `mimosacartd`.
   std::string Program;
   /// Folder for the hosts' settings files and logs.
@@ -41,6 +48,8 @@
   std::vector<std::string> run();
   /// Results of the run.
   const PromiseChecker &checker() const { return Checker; }
+  /// Largest memory of a host process, in megabytes.
+  std::size_t peakMemoryMb() const { return PeakMemoryMb; }
 
 private:
   /// A backend server and the proxy whose address is registered in the store.
@@ -78,6 +87,10 @@
   void sendRequests();
   void sendRequest();
   void watchProcesses();
+  /// Records the largest memory of a host, and reports it if it is too much.
+  void checkMemory(std::size_t Index);
+  /// Adds a server that answers without end, and schedules such callers.
+  void scheduleEndlessPeers();
   void scheduleFaults();
   void injectFault();
   /// Schedules servers that name a limit, want a pause or leave.
@@ -128,6 +141,9 @@
   unsigned LastRequestNumber = 0;
   /// Version of the last published configuration.
   unsigned ConfigurationVersion = 0;
+  std::unique_ptr<EndlessServer> AnswersWithoutEnd;
+  std::unique_ptr<EndlessCallers> RequestsWithoutEnd;
+  std::size_t PeakMemoryMb = 0;
   SoakTime StartedAt;
   bool IsSending = true;
 };
--- a/tests/platform/store_client_test.cpp
+++ b/tests/platform/store_client_test.cpp
@@ -103,7 +103,8 @@
   Context.run_for(5s);
   EXPECT_TRUE(Received.has_value());
   EXPECT_EQ(LastRequest.Target, "/v1/rows-tx");
-  EXPECT_NE(LastRequest.Body.bytes().find(R"("value":"aGk=")"), std::string::npos);
+  EXPECT_NE(LastRequest.Body.bytes().find(R"("value":"aGk=")"),
+            std::string::npos);
 }
 
 } // namespace
--- a/tests/process/process_fleet.cpp
+++ b/tests/process/process_fleet.cpp
@@ -326,7 +326,8 @@
   std::vector<ListedEntry> Result;
   if (!Response)
     return Result;
-  const auto Value = nlohmann::json::parse(Response->Body.bytes(), nullptr, false);
+  const auto Value =
+      nlohmann::json::parse(Response->Body.bytes(), nullptr, false);
   if (Value.is_discarded())
     return Result;
   for (const auto &Each : Value["entries"])
