--- a/net/message_reader.h
+++ b/net/message_reader.h
@@ -128,7 +128,7 @@
         return toMessageError(Error);
       if (HadHeader || !Parser.is_header_done())
         continue;
-      if (const auto Invalid = onHeader())
+      if (auto Invalid = onHeader())
         return Invalid;
     }
     return std::nullopt;
@@ -168,7 +168,7 @@
     KeepAlive = Parser.get().keep_alive();
     for (const HeaderField &Field : Fields)
       HeaderCost += FieldOverheadBytes + Field.Name.size() + Field.Value.size();
-    if (const auto Invalid = checkTransferEncoding())
+    if (auto Invalid = checkTransferEncoding())
       return Invalid;
     if (Parser.is_done())
       return std::nullopt;
