Take no memory for a body twice when the next request follows at once

What callers would have seen: with bytes of a pipelined request read behind its last ones, a long body of known length doubled its reservation, and the request was refused as not run although it fitted.

Change: a body of known length has its memory from its header on. A header's fields are reserved also where no body follows.

--- a/net/message_reader.h
+++ b/net/message_reader.h
@@ -81,7 +81,7 @@
   /// Returns the body, for which the memory of the message stays reserved.
   Payload takeBody() {
     std::string Body = std::move(Parser.get().body());
-    // Smaller than before, so that it fits.
+    // Fits, since the buffer no longer counts.
     (void)Reserved.resize(Body.capacity() + HeaderCost);
     return {std::move(Body), std::move(Reserved)};
   }
@@ -149,7 +149,9 @@
     std::string &Body = Parser.get().body();
     const std::size_t Others = HeaderCost + Buffer.capacity();
     const std::size_t Needed = Body.size() + Buffer.size();
-    if (Needed > Body.capacity()) {
+    // A body of known length has its memory; bytes beyond it are of the next
+    // message.
+    if (!Parser.content_length() && Needed > Body.capacity()) {
       const std::size_t Grown = std::max(Needed, 2 * Body.capacity());
       // Both copies exist while the body grows.
       if (!Reserved.resize(Others + Grown + Body.capacity()))
@@ -170,6 +172,8 @@
       HeaderCost += FieldOverheadBytes + Field.Name.size() + Field.Value.size();
     if (auto Invalid = checkTransferEncoding())
       return Invalid;
+    if (!Reserved.resize(HeaderCost + Buffer.capacity()))
+      return noMemory();
     if (Parser.is_done())
       return std::nullopt;
     return reserveBody();
--- a/tests/net/invalid_message_test.cpp
+++ b/tests/net/invalid_message_test.cpp
@@ -10,6 +10,8 @@
 
 #include <gtest/gtest.h>
 
+#include <fmt/format.h>
+
 #include <limits>
 
 namespace mimosacart {
@@ -204,8 +206,9 @@
   for (const std::string Length : {"", "Content-Length: 40\r\n"}) {
     Reasons.clear();
     const std::string Answers =
-        exchange("POST / HTTP/1.1\r\nHost: a\r\n" + Length +
-                 "Transfer-Encoding: " + GetParam() + "\r\n\r\n" + Inner);
+        exchange(fmt::format("POST / HTTP/1.1\r\nHost: a\r\n{}"
+                             "Transfer-Encoding: {}\r\n\r\n{}",
+                             Length, GetParam(), Inner));
     EXPECT_EQ(Answers.substr(0, 12), "HTTP/1.1 400");
     EXPECT_EQ(Answers.find("HTTP/1.1", 1), std::string::npos);
     EXPECT_EQ(Reasons.size(), 1U);
--- a/tests/net/message_memory_test.cpp
+++ b/tests/net/message_memory_test.cpp
@@ -4,6 +4,7 @@
 #include "net/asio.h"
 #include "net/http_client.h"
 #include "net/http_server.h"
+#include "net/message_reader.h"
 
 #include <boost/asio/read.hpp>
 #include <boost/asio/write.hpp>
@@ -18,6 +19,34 @@
 constexpr std::size_t BudgetBytes = 3U << 20U;
 constexpr std::size_t LongBodyBytes = 1U << 20U;
 
+/// A reader of requests that the test feeds.
+class MessageReaderTest : public testing::Test {
+protected:
+  std::optional<MessageError> feed(const std::string &Text) {
+    asio::buffer_copy(Buffer.prepare(Text.size()), asio::buffer(Text));
+    return Reader.parse(Text.size());
+  }
+
+  std::shared_ptr<MemoryBudget> Budget =
+      std::make_shared<MemoryBudget>(BudgetBytes);
+  beast::flat_buffer Buffer;
+  MessageReader<true> Reader{Buffer, {16U << 10U, 64U << 20U, Budget}};
+};
+
+// Guards against memory for a whole further body because bytes of the next
+// request were read with the last ones of a long body.
+TEST_F(MessageReaderTest, parse_bytesOfNextMessage_needNoMemory) {
+  constexpr std::size_t PieceBytes = 1U << 10U;
+  constexpr std::size_t BodyBytes = 1'500 * PieceBytes + 1;
+  EXPECT_FALSE(feed("POST / HTTP/1.1\r\nContent-Length: " +
+                    std::to_string(BodyBytes) + "\r\n\r\n"));
+  for (unsigned Piece = 0; Piece < 1'500; ++Piece)
+    ASSERT_FALSE(feed(std::string(PieceBytes, 'b')));
+  EXPECT_FALSE(feed("bGET / HTTP/1.1\r\n"));
+  EXPECT_TRUE(Reader.isDone());
+  EXPECT_EQ(Buffer.size(), 16U);
+}
+
 /// A server whose requests share a budget. Runs in the thread of the test.
 class RequestMemoryTest : public testing::Test {
 protected:
@@ -108,6 +137,28 @@
   EXPECT_EQ(Budget->held(), 0U);
 }
 
+TEST_F(RequestMemoryTest, requests_pipelinedAfterLongOne_areServed) {
+  constexpr std::size_t BodyBytes = 3 * LongBodyBytes / 2;
+  tcp::socket Caller = connect();
+  send(Caller, makePost("/held", BodyBytes) + makePost("/", 100));
+  ASSERT_EQ(Held.size(), 1U);
+  EXPECT_LE(Budget->held(), BodyBytes);
+  Held.front().second->respond({200, {}, ""});
+  run(50ms);
+  const std::string Answers = readArrived(Caller);
+  EXPECT_NE(Answers.find("HTTP/1.1 200", 1), std::string::npos);
+}
+
+TEST_F(RequestMemoryTest, requests_manyFields_areCounted) {
+  std::string Head = "GET /held HTTP/1.1\r\nHost: a\r\n";
+  for (unsigned Field = 0; Field < 2'000; ++Field)
+    Head += "A:\r\n";
+  tcp::socket Caller = connect();
+  send(Caller, Head + "\r\n");
+  ASSERT_EQ(Held.size(), 1U);
+  EXPECT_GE(Budget->held(), 2'000 * sizeof(HeaderField));
+}
+
 TEST_F(RequestMemoryTest, requests_togetherTooLong_lastIsRefusedAsNotRun) {
   std::vector<tcp::socket> Callers;
   for (unsigned Count = 0; Count < 4; ++Count) {
