--- a/soak/soak.h
+++ b/soak/soak.h
@@ -18,6 +18,11 @@
 
 namespace mimosacart {
 
+/// Time at the start and at the end of a run in which no fault begins. A fault
+/// that began earlier may last into the end.
+constexpr auto FaultFreeStart = std::chrono::seconds(2);
+constexpr auto FaultFreeEnd = std::chrono::seconds(9);
+
 /// Settings of one run.
 struct SoakOptions {
   /// Seed of the random engine that draws all requests and faults.
