--- a/net/http_session.h
+++ b/net/http_session.h
@@ -87,6 +87,7 @@
   /// The bytes of the response that is being written.
   Payload OutgoingBody;
   std::function<void()> GoneHook;
+  /// Limits waiting for a request and reading it.
   asio::steady_timer ReadTimer;
   bool ReadTimedOut = false;
   bool AwaitingRequest = true;
