Call no hook of an HttpServer that is gone

Cause: a session outlives its server. With bytes that lie unread in its socket it is not closed, and passes its request to the handler, which refers to a stand-in that has ended.

Change: a session whose server is gone closes its connection instead.

--- a/net/http_server.cpp
+++ b/net/http_server.cpp
@@ -141,10 +141,14 @@
                                                     std::move(Memory),
                                                     false,
                                                     false,
+                                                    false,
                                                     {},
                                                     {}})) {}
 
-HttpServer::~HttpServer() { Shared->stop(); }
+HttpServer::~HttpServer() {
+  Shared->stop();
+  Shared->Destroyed = true;
+}
 
 boost::outcome_v2::result<void, std::error_code>
 HttpServer::listen(const std::string &Address) {
--- a/net/http_server.h
+++ b/net/http_server.h
@@ -60,6 +60,7 @@
              Handler Handle, RefusalHook Refuse,
              InvalidMessageHook ReportInvalid = {},
              std::shared_ptr<MemoryBudget> Memory = nullptr);
+  /// Calls no hook any more; responses to open exchanges are still written.
   ~HttpServer();
   HttpServer(const HttpServer &) = delete;
   HttpServer &operator=(const HttpServer &) = delete;
--- a/net/http_session.cpp
+++ b/net/http_session.cpp
@@ -130,7 +130,7 @@
 }
 
 void HttpSession::onRead(const beast::error_code &Error, std::size_t Bytes) {
-  if (Error && ReadTimedOut) {
+  if (Error && ReadTimedOut && !Server->Destroyed) {
     refuse({NetError::TimedOut, "the request is not complete in time"});
     return;
   }
@@ -148,6 +148,10 @@
     return;
   }
   ReadTimer.cancel();
+  if (Server->Destroyed) {
+    close();
+    return;
+  }
   IsHead = Reader->message().method() == http::verb::head;
   if (Invalid)
     refuse(*Invalid);
--- a/net/http_session.h
+++ b/net/http_session.h
@@ -25,6 +25,8 @@
   bool Stopping = false;
   /// Connections are closed after their next response.
   bool Draining = false;
+  /// The server is gone, and so may be what its hooks refer to.
+  bool Destroyed = false;
   std::unordered_map<std::string, std::size_t> ConnectionsByAddress;
   std::unordered_set<HttpSession *> Sessions;
 };
--- a/tests/net/http_server_test.cpp
+++ b/tests/net/http_server_test.cpp
@@ -361,6 +361,37 @@
   EXPECT_TRUE(IsClosed);
 }
 
+// Guards against a session that passes its request to the handler of a server
+// that is gone: the soak crashed in a stand-in that had ended.
+TEST(HttpServerLifetimeTest, destructor_requestNotReadYet_callsNoHook) {
+  asio::io_context Context;
+  tcp::socket Caller(Context);
+  unsigned Calls = 0;
+  auto Server = std::make_unique<HttpServer>(
+      Context, HttpServerLimits{},
+      [&Calls](const HttpRequest &, const std::shared_ptr<HttpExchange> &) {
+        ++Calls;
+      },
+      [&Calls](NetError) {
+        ++Calls;
+        return HttpResponse{400, {}, ""};
+      });
+  for (unsigned Port = 9'900; Port < 9'990; ++Port) {
+    const std::string Address = "127.0.0.1:" + std::to_string(Port);
+    if (!Server->listen(Address).has_value())
+      continue;
+    Caller.connect(*parseEndpoint(Address));
+    break;
+  }
+  Context.run_for(50ms);
+  asio::write(Caller, asio::buffer(std::string_view(
+                          "GET / HTTP/1.1\r\nHost: a\r\n\r\n")));
+  Server.reset();
+  Context.restart();
+  Context.run_for(100ms);
+  EXPECT_EQ(Calls, 0U);
+}
+
 /// A planned stop after some handlers have run since the second request of a
 /// connection arrived.
 class HttpServerStopStepTest : public HttpServerStopTest,
