Let long messages that are still being read give way to shorter ones

What a caller would have seen: some dozen others who stop in the middle of long requests, of sizes that fit one after the other, use up the budget for up to 10 s; a request of more than 16 KB is then refused, though it is not the one that breaks the bound. The same with answers of faulty servers. Found by asking of the bound whether it ever ends a neighbour's exchange.

Change: a message that does not fit ends longer ones that are still being read, the longest first: a request is refused as not run, a response breaks its call. Nothing is ended for what could never fit.

Evidence: RequestMemoryTest.requests_stalledLongOnes_giveWayToShorterOnes fails without the hook and passes with it; MemoryBudgetTest has three more; core_tests 56, net_tests 109, daemon_tests 23 pass.

--- a/core/memory_budget.h
+++ b/core/memory_budget.h
@@ -3,15 +3,20 @@
 #pragma once
 
 #include <cstddef>
+#include <functional>
 #include <memory>
+#include <set>
 
 namespace mimosacart {
 
+class MemoryReservation;
+
 /// Number of bytes that the messages of one kind may hold together.
 ///
 /// No message may take what the others need: each may grow only while it holds
 /// at most FreeShare times what then stays free (a dynamic threshold, as in the
-/// buffers of switches). So a few long messages never fill the whole budget.
+/// buffers of switches). If one does not fit all the same, longer ones that are
+/// still being read make room for it, the longest first.
 class MemoryBudget {
 public:
   explicit MemoryBudget(std::size_t Limit) : Limit(Limit) {}
@@ -32,9 +37,14 @@
   /// Changes a reservation of \p Before bytes to \p After bytes; returns false
   /// and changes nothing if that does not fit.
   bool change(std::size_t Before, std::size_t After);
+  /// Ends the longest of the messages that can be ended and hold more than
+  /// \p Bytes; returns false if there is none.
+  bool reclaimFromLonger(std::size_t Bytes);
 
   const std::size_t Limit;
   std::size_t Held = 0;
+  /// Reservations of messages that can be ended.
+  std::set<MemoryReservation *> Reclaimable;
 };
 
 /// The bytes that one message holds of a budget. Gives them back at its end.
@@ -47,19 +57,30 @@
   /// Without a budget, a reservation always fits.
   explicit MemoryReservation(std::shared_ptr<MemoryBudget> Budget = nullptr)
       : Budget(std::move(Budget)) {}
-  ~MemoryReservation() { release(); }
+  ~MemoryReservation() {
+    onReclaim({});
+    release();
+  }
   MemoryReservation(MemoryReservation &&Other) noexcept;
   MemoryReservation &operator=(MemoryReservation &&Other) noexcept;
 
+  /// Lets the budget end the message: \p Hook must free its memory at once. It
+  /// is called at most once, with nothing reserved any more. An empty hook
+  /// takes that back.
+  void onReclaim(std::function<void()> Hook);
+
   /// Changes the size to \p Bytes; returns false and keeps the size if that
   /// does not fit. A smaller size always fits.
   [[nodiscard]] bool resize(std::size_t Bytes);
   void release();
 
 private:
+  friend class MemoryBudget;
+
   std::shared_ptr<MemoryBudget> Budget;
   /// Bytes counted in the budget.
   std::size_t Counted = 0;
+  std::function<void()> ReclaimHook;
 };
 
 } // namespace mimosacart
--- a/net/http_client.cpp
+++ b/net/http_client.cpp
@@ -102,6 +102,7 @@
   void onWritten(const beast::error_code &Error);
   void startResponse();
   void readMore();
+  void onReclaim();
   void onRead(const beast::error_code &Error, std::size_t Bytes);
   /// Continues after bytes of the response have been parsed.
   void onParsed(const std::optional<MessageError> &Invalid);
@@ -209,6 +210,7 @@
   Reader.emplace(
       Buffer, MessageLimits{MaxHeaderBytes, Pool->MaxBodyBytes, Pool->Memory},
       Call.Request.Method == "HEAD");
+  Reader->onReclaim([this] { onReclaim(); });
   if (Buffer.size() > 0)
     onParsed(Reader->parse(0));
   else
@@ -224,8 +226,16 @@
       });
 }
 
+/// Ends the response for a shorter one; the read in progress then ends.
+void ClientCall::onReclaim() {
+  Reader.reset();
+  Stream->close();
+}
+
 void ClientCall::onRead(const beast::error_code &Error, std::size_t Bytes) {
-  if (Error == asio::error::eof)
+  if (!Reader)
+    fail({NetError::NoMemory, "a shorter response needs the memory"});
+  else if (Error == asio::error::eof)
     onParsed(Reader->parseEnd());
   else if (Error == beast::error::timeout)
     finish(make_error_code(NetError::TimedOut));
--- a/net/http_session.cpp
+++ b/net/http_session.cpp
@@ -105,6 +105,7 @@
   Reader.emplace(Buffer,
                  MessageLimits{Server->Limits.HeaderBytes,
                                Server->Limits.BodyBytes, Server->Memory});
+  Reader->onReclaim([this] { onReclaim(); });
   // A timer is used because the stream's own timeout would close the stream
   // before the refusal is sent.
   Stream.expires_never();
@@ -129,8 +130,20 @@
       });
 }
 
+/// Ends the request for a shorter one; the read in progress then ends.
+void HttpSession::onReclaim() {
+  Reader.reset();
+  Buffer.clear();
+  Stream.cancel();
+}
+
 void HttpSession::onRead(const beast::error_code &Error, std::size_t Bytes) {
-  if (Error && ReadTimedOut && !Server->Destroyed) {
+  if (!Reader) {
+    ReadTimer.cancel();
+    refuse({NetError::NoMemory, "a shorter request needs the memory"});
+    return;
+  }
+  if (Error && ReadTimedOut) {
     refuse({NetError::TimedOut, "the request is not complete in time"});
     return;
   }
@@ -148,13 +161,11 @@
     return;
   }
   ReadTimer.cancel();
-  if (Server->Destroyed) {
-    close();
-    return;
-  }
   IsHead = Reader->message().method() == http::verb::head;
   if (Invalid)
     refuse(*Invalid);
+  else if (Server->Destroyed)
+    close();
   else
     onRequest();
 }
@@ -214,6 +225,10 @@
 }
 
 void HttpSession::refuse(const MessageError &Error) {
+  if (Server->Destroyed) {
+    close();
+    return;
+  }
   Reader.reset();
   reportInvalid(Error);
   const bool IsTooLong =
--- a/net/http_session.h
+++ b/net/http_session.h
@@ -60,6 +60,7 @@
   bool hasUnreadBytes() const;
   void readRequest();
   void readMore();
+  void onReclaim();
   void onRead(const beast::error_code &Error, std::size_t Bytes);
   /// Continues after bytes of the request have been parsed.
   void onParsed(const std::optional<MessageError> &Invalid);
--- a/net/message_reader.h
+++ b/net/message_reader.h
@@ -8,6 +8,7 @@
 
 #include <algorithm>
 #include <exception>
+#include <functional>
 #include <memory>
 #include <optional>
 #include <string>
@@ -69,6 +70,12 @@
     });
   }
 
+  /// Lets a shorter message end this one while it is being read. \p Hook must
+  /// destroy the reader.
+  void onReclaim(std::function<void()> Hook) {
+    Reserved.onReclaim(std::move(Hook));
+  }
+
   bool isDone() const { return Parser.is_done(); }
   /// The message; its fields may include those of a trailer section.
   const auto &message() const { return Parser.get(); }
@@ -80,6 +87,7 @@
   std::vector<HeaderField> takeFields() { return std::move(Fields); }
   /// Returns the body, for which the memory of the message stays reserved.
   Payload takeBody() {
+    Reserved.onReclaim({});
     std::string Body = std::move(Parser.get().body());
     // Fits, since the buffer no longer counts.
     (void)Reserved.resize(Body.capacity() + HeaderCost);
--- a/tests/core/memory_budget_test.cpp
+++ b/tests/core/memory_budget_test.cpp
@@ -53,6 +53,44 @@
   EXPECT_TRUE(Common.resize(Uncounted));
 }
 
+// Guards against a common message that is refused because longer ones, which
+// are still being read, hold the budget.
+TEST_F(MemoryBudgetTest, resize_longerMessageCanBeEnded_makesRoom) {
+  MemoryReservation Running(Budget);
+  ASSERT_TRUE(Running.resize(Uncounted + 600));
+  auto Long = std::make_unique<MemoryReservation>(Budget);
+  ASSERT_TRUE(Long->resize(Uncounted + 200));
+  Long->onReclaim([&Long] { Long.reset(); });
+  MemoryReservation Longer(Budget);
+  EXPECT_FALSE(Longer.resize(Uncounted + 250));
+  EXPECT_TRUE(Long);
+  MemoryReservation Common(Budget);
+  EXPECT_TRUE(Common.resize(Uncounted + 150));
+  EXPECT_FALSE(Long);
+  EXPECT_EQ(Budget->held(), 750U);
+}
+
+TEST_F(MemoryBudgetTest, resize_tooLargeForBudget_endsNoOther) {
+  MemoryReservation Other(Budget);
+  ASSERT_TRUE(Other.resize(Uncounted + 500));
+  bool Ended = false;
+  Other.onReclaim([&Ended] { Ended = true; });
+  MemoryReservation TooLarge(Budget);
+  EXPECT_FALSE(TooLarge.resize(Uncounted + 900));
+  EXPECT_FALSE(Ended);
+}
+
+TEST_F(MemoryBudgetTest, onReclaim_reservationMoved_movesHook) {
+  bool Ended = false;
+  MemoryReservation First(Budget);
+  ASSERT_TRUE(First.resize(Uncounted + 550));
+  First.onReclaim([&Ended] { Ended = true; });
+  MemoryReservation Second(std::move(First));
+  MemoryReservation Common(Budget);
+  EXPECT_TRUE(Common.resize(Uncounted + 400));
+  EXPECT_TRUE(Ended);
+}
+
 TEST_F(MemoryBudgetTest, reservation_movedOrDestroyed_givesBytesBackOnce) {
   {
     MemoryReservation First(Budget);
--- a/tests/net/message_memory_test.cpp
+++ b/tests/net/message_memory_test.cpp
@@ -177,6 +177,22 @@
   EXPECT_EQ(Budget->held(), 0U);
 }
 
+// Guards against a neighbour that is refused because callers that stopped in
+// the middle of long requests hold the budget.
+TEST_F(RequestMemoryTest, requests_stalledLongOnes_giveWayToShorterOnes) {
+  std::vector<tcp::socket> Stalled;
+  std::size_t Bytes = 2 * LongBodyBytes;
+  for (unsigned Count = 0; Count < 12; ++Count) {
+    Stalled.push_back(connect());
+    send(Stalled.back(), makePost("/", Bytes).substr(0, 100));
+    Bytes /= 2;
+  }
+  tcp::socket Neighbour = connect();
+  send(Neighbour, makePost("/", 300'000));
+  EXPECT_EQ(readArrived(Neighbour).substr(0, 12), "HTTP/1.1 200");
+  EXPECT_EQ(readArrived(Stalled.front()).substr(0, 12), "HTTP/1.1 503");
+}
+
 // A response that its caller does not read stays counted.
 TEST_F(RequestMemoryTest, response_notRead_holdsItsBytes) {
   tcp::socket Slow = connect();
