Name the shares of a host's memory

Percentages in place of bare fractions; the platform's answers get 2% in place of 1/64, peer messages 6% in place of 1/16.

--- a/daemon/message_memory.h
+++ b/daemon/message_memory.h
@@ -13,11 +13,25 @@
 /// of each message that budgets do not count.
 struct MessageMemory {
   explicit MessageMemory(std::size_t HostBytes)
-      : Requests(std::make_shared<MemoryBudget>(HostBytes * 3 / 10)),
-        Answers(std::make_shared<MemoryBudget>(HostBytes * 3 / 10)),
-        Platform(std::make_shared<MemoryBudget>(HostBytes / 64)),
-        MaxPeerMessageBytes(HostBytes / 16),
-        MaxConnections(HostBytes / 4 / MemoryReservation::UncountedBytes) {}
+      : Requests(makeBudget(HostBytes, RequestPercent)),
+        Answers(makeBudget(HostBytes, AnswerPercent)),
+        Platform(makeBudget(HostBytes, PlatformPercent)),
+        MaxPeerMessageBytes(HostBytes / HundredPercent * PeerMessagePercent),
+        MaxConnections(HostBytes / HundredPercent * UncountedPercent /
+                       MemoryReservation::UncountedBytes) {}
+
+  static constexpr std::size_t HundredPercent = 100;
+  static constexpr std::size_t RequestPercent = 30;
+  static constexpr std::size_t AnswerPercent = 30;
+  static constexpr std::size_t PlatformPercent = 2;
+  static constexpr std::size_t PeerMessagePercent = 6;
+  /// For the uncounted bytes of all connections.
+  static constexpr std::size_t UncountedPercent = 25;
+
+  static std::shared_ptr<MemoryBudget> makeBudget(std::size_t HostBytes,
+                                                  std::size_t Percent) {
+    return std::make_shared<MemoryBudget>(HostBytes / HundredPercent * Percent);
+  }
 
   /// Requests of callers, until their answers are written.
   std::shared_ptr<MemoryBudget> Requests;
