Keep the library from writing a line for each unreadable peer message

A peer that sends texts that are not UTF-8 filled standard error without a bound: protobuf writes a line for each. decode() reports such messages, and the host logs them as peer_message_unreadable, which is bounded.

--- a/tests/wire/peer_codec_test.cpp
+++ b/tests/wire/peer_codec_test.cpp
@@ -146,6 +146,13 @@
   EXPECT_TRUE(decode("GET / HTTP/1.1\r\n\r\n").has_error());
 }
 
+// Guards against a log that a peer can fill: the library's own is not bounded.
+TEST(PeerCodecTest, decode_nameNotUtf8_writesNoLog) {
+  testing::internal::CaptureStderr();
+  EXPECT_TRUE(decode(std::string_view("\x0a\x02\xff\xfe", 4)).has_error());
+  EXPECT_EQ(testing::internal::GetCapturedStderr(), "");
+}
+
 RC_GTEST_PROP(PeerCodecTest, decode_damagedBytes_neverCrashes,
               (std::uint8_t Type, std::uint16_t Position, std::uint8_t Value,
                std::uint16_t Length)) {
--- a/wire/peer_codec.cpp
+++ b/wire/peer_codec.cpp
@@ -5,10 +5,17 @@
 #include "wire/table_codec.h"
 #include "wire/view_codec.h"
 
+#include <google/protobuf/stubs/logging.h>
+
 namespace mimosacart {
 
 namespace {
 
+/// The library would write a line on standard error for each text that is not
+/// UTF-8, without a bound. decode() reports such messages.
+google::protobuf::LogHandler *const OldLogHandler =
+    google::protobuf::SetLogHandler(nullptr);
+
 // Values that are part of several messages.
 
 void write(const HeaderField &From, wire::Header &To) {
