Let one function listen and one hook log invalid messages

HttpServer, the soak's proxy and its endless server opened their acceptors with the same lines: listenOn(). Both kinds of host made the same hook: logInvalidMessages().

--- a/core/memory_budget.h
+++ b/core/memory_budget.h
@@ -15,8 +15,8 @@
 ///
 /// No message may take what the others need: each may grow only while it holds
 /// at most FreeShare times what then stays free (a dynamic threshold, as in the
-/// buffers of switches). If one does not fit all the same, longer ones that are
-/// still being read make room for it, the longest first.
+/// buffers of switches). If one does not fit all the same, longer ones that can
+/// be ended are ended for it, the longest first.
 class MemoryBudget {
 public:
   explicit MemoryBudget(std::size_t Limit) : Limit(Limit) {}
--- a/daemon/direct_host_process.cpp
+++ b/daemon/direct_host_process.cpp
@@ -1,5 +1,6 @@
 #include "daemon/direct_host_process.h"
 
+#include "daemon/invalid_message_log.h"
 #include "daemon/text_page.h"
 #include "net/asio.h"
 #include "platform/http_codec.h"
@@ -121,9 +122,9 @@
       Log(Settings.Name.value(), parseLogLevel(Settings.LogLevel)),
       Memory(Settings.MemoryBytes),
       ServerHttp(IoContext, MaxAnswerBytes, Memory.Answers,
-                 makeInvalidMessageHook("server")),
+                 logInvalidMessages(Log, "server")),
       StoreHttp(IoContext, MaxAnswerBytes, Memory.Platform,
-                makeInvalidMessageHook("store")),
+                logInvalidMessages(Log, "store")),
       Store(StoreHttp, Settings.PlatformAddress, StoreTimeout),
       CrashRecordRows(Store, Log, makeCrashRecordHooks()),
       HostRegistration(Store, Log, Settings.Name.value(), Settings.PeerAddress),
@@ -144,14 +145,15 @@
           [this](HttpRequest Request, std::shared_ptr<HttpExchange> Exchange) {
             onCallerRequest(std::move(Request), std::move(Exchange));
           },
-          writeRequestError, makeInvalidMessageHook("caller"), Memory.Requests),
+          writeRequestError, logInvalidMessages(Log, "caller"),
+          Memory.Requests),
       DirectoryEndpoint(
           IoContext, {},
           [this](const HttpRequest &Request,
                  const std::shared_ptr<HttpExchange> &Exchange) {
             onDirectoryRequest(Request, *Exchange);
           },
-          writeRequestError, makeInvalidMessageHook("directory"),
+          writeRequestError, logInvalidMessages(Log, "directory"),
           Memory.Requests),
       ReadinessEndpoint(
           IoContext, {},
@@ -159,7 +161,7 @@
                  const std::shared_ptr<HttpExchange> &Exchange) {
             onReadinessRequest(*Exchange);
           },
-          writeRequestError, makeInvalidMessageHook("readiness"),
+          writeRequestError, logInvalidMessages(Log, "readiness"),
           Memory.Requests),
       AdminEndpoint(
           IoContext, {},
@@ -167,7 +169,7 @@
                  const std::shared_ptr<HttpExchange> &Exchange) {
             onAdminRequest(Request, *Exchange);
           },
-          writeRequestError, makeInvalidMessageHook("admin"), Memory.Requests),
+          writeRequestError, logInvalidMessages(Log, "admin"), Memory.Requests),
       HostTimers(std::make_unique<Timers>(IoContext)) {}
 
 DirectHostProcess::~DirectHostProcess() = default;
@@ -227,13 +229,6 @@
   return Result;
 }
 
-InvalidMessageHook DirectHostProcess::makeInvalidMessageHook(const char *From) {
-  return [this, From](const std::string &Peer, const MessageError &Error) {
-    Log.error("message_invalid",
-              {{"from", From}, {"peer", Peer}, {"why", Error.Reason}});
-  };
-}
-
 TableFollower::Hooks DirectHostProcess::makeFollowerHooks(StoreTable Table) {
   TableFollower::Hooks Result;
   Result.TableRead = [this, Table](const std::vector<TableRow> &Rows,
--- a/daemon/direct_host_process.h
+++ b/daemon/direct_host_process.h
@@ -49,8 +49,6 @@
   Instant now() const;
   DirectNode::Hooks makeCoreHooks();
   CrashRecordStore::Hooks makeCrashRecordHooks();
-  /// Returns a hook that logs invalid messages; \p From names the kind of peer.
-  InvalidMessageHook makeInvalidMessageHook(const char *From);
   TableFollower::Hooks makeFollowerHooks(StoreTable Table);
   TableFollower &follower(StoreTable Table) {
     return Table == StoreTable::Routes ? RouteFollower : ServerFollower;
--- a/daemon/entry_host_process.cpp
+++ b/daemon/entry_host_process.cpp
@@ -1,5 +1,6 @@
 #include "daemon/entry_host_process.h"
 
+#include "daemon/invalid_message_log.h"
 #include "net/asio.h"
 #include "wire/peer_codec.h"
 
@@ -94,9 +95,9 @@
       Core(now(), makeNodeSettings(Settings, Incarnation)),
       Memory(Settings.MemoryBytes),
       ServerHttp(IoContext, MaxAnswerBytes, Memory.Answers,
-                 makeInvalidMessageHook("server")),
+                 logInvalidMessages(Log, "server")),
       PlatformHttp(IoContext, MaxAnswerBytes, Memory.Platform,
-                   makeInvalidMessageHook("platform")),
+                   logInvalidMessages(Log, "platform")),
       Platform(PlatformHttp, Settings.PlatformAddress,
                Settings.PlatformTimeout),
       Archive(Platform),
@@ -125,14 +126,14 @@
           [this](HttpRequest Request, std::shared_ptr<HttpExchange> Exchange) {
             onCallerRequest(std::move(Request), std::move(Exchange));
           },
-          toRefusal, makeInvalidMessageHook("caller"), Memory.Requests),
+          toRefusal, logInvalidMessages(Log, "caller"), Memory.Requests),
       AdminEndpoint(
           IoContext, {},
           [this](const HttpRequest &Request,
                  const std::shared_ptr<HttpExchange> &Exchange) {
             onAdminRequest(Request, *Exchange);
           },
-          toRefusal, makeInvalidMessageHook("admin"), Memory.Requests),
+          toRefusal, logInvalidMessages(Log, "admin"), Memory.Requests),
       TickTimer(std::make_unique<Timer>(IoContext)) {}
 
 EntryHostProcess::~EntryHostProcess() = default;
@@ -156,13 +157,6 @@
   return boost::outcome_v2::success();
 }
 
-InvalidMessageHook EntryHostProcess::makeInvalidMessageHook(const char *From) {
-  return [this, From](const std::string &Peer, const MessageError &Error) {
-    Log.error("message_invalid",
-              {{"from", From}, {"peer", Peer}, {"why", Error.Reason}});
-  };
-}
-
 void EntryHostProcess::stop() {
   Core.onStop(now());
   runActions();
--- a/daemon/entry_host_process.h
+++ b/daemon/entry_host_process.h
@@ -51,8 +51,6 @@
   };
 
   Instant now() const;
-  /// Returns a hook that logs invalid messages; \p From names the kind of peer.
-  InvalidMessageHook makeInvalidMessageHook(const char *From);
   void scheduleTick();
   void onCallerRequest(HttpRequest Request,
                        std::shared_ptr<HttpExchange> Exchange);
--- a/net/asio.h
+++ b/net/asio.h
@@ -27,6 +27,10 @@
 /// Parses `ip:port`; no value if \p Address has any other form.
 std::optional<tcp::endpoint> parseEndpoint(const std::string &Address);
 
+/// Opens \p Acceptor and listens on \p Address. Returns false if that fails;
+/// the acceptor is then closed, so that another address can be tried.
+bool listenOn(tcp::acceptor &Acceptor, const std::string &Address);
+
 /// Sets the options for all connections: small writes are sent without delay,
 /// and a connection whose peer no longer responds is closed.
 void setConnectionOptions(tcp::socket &Socket);
--- a/net/endpoint.cpp
+++ b/net/endpoint.cpp
@@ -55,4 +55,23 @@
   return tcp::endpoint(Ip, Port);
 }
 
+bool listenOn(tcp::acceptor &Acceptor, const std::string &Address) {
+  const auto Endpoint = parseEndpoint(Address);
+  if (!Endpoint)
+    return false;
+  boost::system::error_code Error;
+  Acceptor.open(Endpoint->protocol(), Error);
+  if (!Error)
+    Acceptor.set_option(asio::socket_base::reuse_address(true), Error);
+  if (!Error)
+    Acceptor.bind(*Endpoint, Error);
+  if (!Error)
+    Acceptor.listen(asio::socket_base::max_listen_connections, Error);
+  if (!Error)
+    return true;
+  boost::system::error_code Ignored;
+  Acceptor.close(Ignored);
+  return false;
+}
+
 } // namespace mimosacart
--- a/net/http_server.cpp
+++ b/net/http_server.cpp
@@ -38,23 +38,8 @@
 
 boost::outcome_v2::result<void, std::error_code>
 HttpServer::Impl::listen(const std::string &Address) {
-  const auto Endpoint = parseEndpoint(Address);
-  if (!Endpoint)
+  if (!listenOn(Acceptor, Address))
     return NetError::BadAddress;
-  beast::error_code Error;
-  Acceptor.open(Endpoint->protocol(), Error);
-  if (!Error)
-    Acceptor.set_option(asio::socket_base::reuse_address(true), Error);
-  if (!Error)
-    Acceptor.bind(*Endpoint, Error);
-  if (!Error)
-    Acceptor.listen(asio::socket_base::max_listen_connections, Error);
-  if (Error) {
-    // The acceptor is closed so that another address can be tried.
-    beast::error_code Ignored;
-    Acceptor.close(Ignored);
-    return NetError::BadAddress;
-  }
   accept();
   return boost::outcome_v2::success();
 }
--- a/soak/endless_peers.cpp
+++ b/soak/endless_peers.cpp
@@ -109,14 +109,7 @@
     : Acceptor(Context), Random(Seed) {}
 
 bool EndlessServer::listen(const std::string &Address) {
-  const auto Endpoint = parseEndpoint(Address);
-  boost::system::error_code Error;
-  Acceptor.open(Endpoint->protocol(), Error);
-  Acceptor.set_option(asio::socket_base::reuse_address(true), Error);
-  Acceptor.bind(*Endpoint, Error);
-  if (!Error)
-    Acceptor.listen(asio::socket_base::max_listen_connections, Error);
-  if (Error)
+  if (!listenOn(Acceptor, Address))
     return false;
   accept();
   return true;
--- a/soak/fault_proxy.cpp
+++ b/soak/fault_proxy.cpp
@@ -144,17 +144,8 @@
     : Context(IoContext), Target(std::move(Target)), Acceptor(IoContext) {}
 
 bool FaultProxy::listen(const std::string &Address) {
-  const auto Endpoint = parseEndpoint(Address);
-  boost::system::error_code Error;
-  Acceptor.open(Endpoint->protocol(), Error);
-  Acceptor.set_option(asio::socket_base::reuse_address(true), Error);
-  Acceptor.bind(*Endpoint, Error);
-  if (!Error)
-    Acceptor.listen(asio::socket_base::max_listen_connections, Error);
-  if (Error) {
-    Acceptor.close();
+  if (!listenOn(Acceptor, Address))
     return false;
-  }
   accept();
   return true;
 }
