Log the address, the connection and the sharing hosts of each call

The logs cannot tell the hypotheses apart: they name neither the address and the connection of a call, nor among how many hosts the budget was divided.

Change: `send` gets `address` and `sharing_hosts`, `server_answer` gets `connection` and `earlier_calls`. HttpClient numbers its connections and reports the one that a response came on. No decision has changed.

--- a/core/request.h
+++ b/core/request.h
@@ -23,6 +23,17 @@
   friend bool operator==(const HeaderField &, const HeaderField &) = default;
 };
 
+/// A connection of this process to a server, and its calls before the current
+/// one.
+struct ConnectionUse {
+  /// Numbers the connections of a client, from 1 on.
+  std::uint64_t Connection = 0;
+  std::uint64_t EarlierCalls = 0;
+
+  friend bool operator==(const ConnectionUse &,
+                         const ConnectionUse &) = default;
+};
+
 /// A caller's request as parsed by the host process.
 struct CallerRequest {
   std::string Method;
--- a/direct/discovered_server.h
+++ b/direct/discovered_server.h
@@ -75,6 +75,8 @@
   bool WrongServer = false;
   /// The answer carries the server's signature.
   bool Signed = false;
+  /// The connection that it came on.
+  ConnectionUse Use{};
 };
 
 /// Result of a call to a server.
--- a/direct/request_flow.cpp
+++ b/direct/request_flow.cpp
@@ -121,11 +121,13 @@
   log("send", Flow,
       {{"call", std::to_string(Id.value())},
        {"server", Server.Id.value()},
+       {"address", Server.Address},
        {"expected_ms", toMsText(Target.ExpectedLatency)},
        {"slowness", Slowness},
        {"figures_age_ms", LoadAge},
        {"candidates", std::to_string(Flow.ProbedServers.size())},
        {"remaining_ms", toMsText(Remaining)},
+       {"sharing_hosts", std::to_string(Callbacks.HostCount())},
        {"why", !IsRetry                 ? "first"
                : Flow.OpenCalls.empty() ? "repeat"
                                         : "hedge"}});
@@ -247,6 +249,8 @@
       {{"server", Call.Server.value()},
        {"status", std::to_string(Status)},
        {"ran", Answer.NotRun || Answer.WrongServer ? "no" : "yes"},
+       {"connection", std::to_string(Answer.Use.Connection)},
+       {"earlier_calls", std::to_string(Answer.Use.EarlierCalls)},
        {"took_ms", toMsText(Now - Call.StartedAt)}});
   if (Answer.NotRun || Answer.WrongServer) {
     Flow.LastFailureReason = RefusalReason::ServerRefused;
--- a/net/http_client.cpp
+++ b/net/http_client.cpp
@@ -18,8 +18,14 @@
 constexpr unsigned MaxDroppedResponses = 16;
 constexpr unsigned FirstFinalStatus = 200;
 
-struct IdleConnection {
+/// A connection to a server; carries one call at a time.
+struct ClientConnection {
   std::unique_ptr<beast::tcp_stream> Stream;
+  ConnectionUse Use;
+};
+
+struct IdleConnection {
+  ClientConnection Connection;
   std::chrono::steady_clock::time_point Since;
 };
 
@@ -33,21 +39,23 @@
         ReportInvalid(std::move(ReportInvalid)) {}
 
   /// Takes the most recently used connection to \p Address that is still open
-  /// and was idle for at most \p MaxIdle; null if there is none.
-  std::unique_ptr<beast::tcp_stream> take(const std::string &Address,
-                                          Duration MaxIdle);
+  /// and was idle for at most \p MaxIdle; nothing if there is none.
+  std::optional<ClientConnection> take(const std::string &Address,
+                                       Duration MaxIdle);
   /// Adds an idle connection to the pool and drops the oldest if it is full.
-  void keep(const std::string &Address,
-            std::unique_ptr<beast::tcp_stream> Stream);
+  void keep(const std::string &Address, ClientConnection Connection);
+  /// A connection that is not open yet.
+  ClientConnection makeConnection();
 
   asio::io_context &Context;
   const std::size_t MaxBodyBytes;
   const std::shared_ptr<MemoryBudget> Memory;
   const InvalidMessageHook ReportInvalid;
   std::unordered_map<std::string, std::deque<IdleConnection>> Idle;
+  std::uint64_t LastConnection = 0;
 };
 
-std::unique_ptr<beast::tcp_stream>
+std::optional<ClientConnection>
 HttpClient::Impl::take(const std::string &Address, Duration MaxIdle) {
   std::deque<IdleConnection> &Pool = Idle[Address];
   const auto Now = std::chrono::steady_clock::now();
@@ -57,28 +65,32 @@
     if (Now - Last.Since > MaxIdle) {
       // All others have been idle for even longer.
       Pool.clear();
-      return nullptr;
+      return std::nullopt;
     }
     // A connection that the server has closed or written to cannot be reused.
     char Byte = 0;
     beast::error_code Error;
-    Last.Stream->socket().non_blocking(true, Error);
-    Last.Stream->socket().receive(asio::buffer(&Byte, 1),
-                                  tcp::socket::message_peek, Error);
+    tcp::socket &Socket = Last.Connection.Stream->socket();
+    Socket.non_blocking(true, Error);
+    Socket.receive(asio::buffer(&Byte, 1), tcp::socket::message_peek, Error);
     if (Error == asio::error::would_block)
-      return std::move(Last.Stream);
+      return std::move(Last.Connection);
   }
-  return nullptr;
+  return std::nullopt;
 }
 
 void HttpClient::Impl::keep(const std::string &Address,
-                            std::unique_ptr<beast::tcp_stream> Stream) {
+                            ClientConnection Connection) {
   std::deque<IdleConnection> &Pool = Idle[Address];
-  Pool.push_back({std::move(Stream), std::chrono::steady_clock::now()});
+  Pool.push_back({std::move(Connection), std::chrono::steady_clock::now()});
   if (Pool.size() > MaxIdleConnections)
     Pool.pop_front();
 }
 
+ClientConnection HttpClient::Impl::makeConnection() {
+  return {std::make_unique<beast::tcp_stream>(Context), {++LastConnection, 0}};
+}
+
 namespace {
 
 /// One call; keeps itself alive until its result is delivered.
@@ -112,12 +124,13 @@
   /// Reports an invalid message and ends the call as soon as its handle has
   /// been returned.
   void fail(const MessageError &Error);
+  beast::tcp_stream &stream() { return *Connection->Stream; }
 
   std::weak_ptr<HttpClient::Impl> Client;
   HttpCall Call;
   HttpClient::DoneHook Done;
   const std::chrono::steady_clock::time_point Deadline;
-  std::unique_ptr<beast::tcp_stream> Stream;
+  std::optional<ClientConnection> Connection;
   http::request<http::span_body<const char>> Outgoing;
   bool RequestWritten = false;
   beast::flat_buffer Buffer;
@@ -128,8 +141,8 @@
 void ClientCall::start() {
   const auto Pool = Client.lock();
   if (Call.MaxIdle > Duration::zero())
-    Stream = Pool->take(Call.Address, Call.MaxIdle);
-  if (Stream) {
+    Connection = Pool->take(Call.Address, Call.MaxIdle);
+  if (Connection) {
     exchange();
     return;
   }
@@ -138,7 +151,7 @@
 
 void ClientCall::connect(HttpClient::Impl &Pool) {
   const auto Endpoint = parseEndpoint(Call.Address);
-  Stream = std::make_unique<beast::tcp_stream>(Pool.Context);
+  Connection = Pool.makeConnection();
   if (!Endpoint) {
     asio::post(Pool.Context, [Self = shared_from_this()] {
       Self->finish(make_error_code(NetError::BadAddress));
@@ -146,10 +159,10 @@
     return;
   }
   const bool HasConnectTimeout = Call.ConnectTimeout > Duration::zero();
-  Stream->expires_after(HasConnectTimeout
-                            ? std::min(Call.ConnectTimeout, Call.Timeout)
-                            : Call.Timeout);
-  Stream->async_connect(
+  stream().expires_after(HasConnectTimeout
+                             ? std::min(Call.ConnectTimeout, Call.Timeout)
+                             : Call.Timeout);
+  stream().async_connect(
       *Endpoint, [Self = shared_from_this()](beast::error_code Error) {
         if (!Self->Done)
           return;
@@ -157,7 +170,7 @@
           Self->finish(make_error_code(NetError::ConnectFailed));
           return;
         }
-        setConnectionOptions(Self->Stream->socket());
+        setConnectionOptions(Self->stream().socket());
         Self->exchange();
       });
 }
@@ -165,7 +178,7 @@
 /// Writes and reads at the same time, since a response may arrive before the
 /// request is completely written.
 void ClientCall::exchange() {
-  Stream->expires_at(Deadline);
+  stream().expires_at(Deadline);
   try {
     makeOutgoing();
   } catch (const std::exception &Thrown) {
@@ -190,7 +203,7 @@
 }
 
 void ClientCall::write() {
-  http::async_write(*Stream, Outgoing,
+  http::async_write(stream(), Outgoing,
                     [Self = shared_from_this()](beast::error_code Error,
                                                 std::size_t /*Bytes*/) {
                       Self->onWritten(Error);
@@ -218,7 +231,7 @@
 }
 
 void ClientCall::readMore() {
-  Stream->async_read_some(
+  stream().async_read_some(
       Reader->prepare(),
       [Self = shared_from_this()](beast::error_code Error, std::size_t Bytes) {
         if (Self->Done)
@@ -229,7 +242,7 @@
 /// Ends the response for a shorter one; the read in progress then ends.
 void ClientCall::onReclaim() {
   Reader.reset();
-  Stream->close();
+  stream().close();
 }
 
 void ClientCall::onRead(const beast::error_code &Error, std::size_t Bytes) {
@@ -266,7 +279,8 @@
     return;
   }
   const bool KeepAlive = Reader->keepAlive() && !EndsWithConnection;
-  onResponse({Message.result_int(), Reader->takeFields(), Reader->takeBody()},
+  onResponse({Message.result_int(), Reader->takeFields(), Reader->takeBody(),
+              Connection->Use},
              KeepAlive);
 }
 
@@ -288,10 +302,12 @@
                         Pool &&
                         (!Call.AllowsReuse || Call.AllowsReuse(Response));
   if (Reusable) {
-    Stream->expires_never();
-    Pool->keep(Call.Address, std::move(Stream));
+    stream().expires_never();
+    ++Connection->Use.EarlierCalls;
+    Pool->keep(Call.Address, std::move(*Connection));
+    Connection.reset();
   } else {
-    Stream->close();
+    stream().close();
   }
   finish(std::move(Response));
 }
@@ -313,16 +329,16 @@
   const HttpClient::DoneHook Hook = std::move(Done);
   Done = nullptr;
   Reader.reset();
-  if (Stream && Result.has_error())
-    Stream->close();
+  if (Connection && Result.has_error())
+    stream().close();
   Hook(std::move(Result));
 }
 
 void ClientCall::cancel() {
   Done = nullptr;
   Reader.reset();
-  if (Stream)
-    Stream->close();
+  if (Connection)
+    stream().close();
 }
 
 } // namespace
--- a/net/http_message.h
+++ b/net/http_message.h
@@ -28,6 +28,8 @@
   unsigned Status = 0;
   std::vector<HeaderField> Headers;
   Payload Body;
+  /// The connection that a received response came on.
+  ConnectionUse Use{};
 };
 
 /// Whether the header field \p Name is not forwarded: it applies to a single
