Keep the retries of all hosts within the limit when hosts restart

Cause, by reading and by tests of the budgets alone: the parts of the limit that hosts took added up to more than the limit. Each process could send one retry whatever its part was; the slack of a new process grew in the window in which the process before it could have used its own; the last retries of hosts lie up to a window apart, so that requests of two windows earned them, of which the limit counts the greater. A retry counted from its sending, but the limit counts arrivals.

A process takes its part of the slack once a window and the greatest transit have passed since its start, at the first start of a fleet after 3 s, and none while it doesn't know the number of hosts. A request earns half of the share. Retries count for a window and the transit, requests for as much less. Of the slack 0.9 is used, 0.75 before.

Failed before, of the old code (retries against the limit): any mix at 56, 189 and 6 hosts: falsified after 87 tests each; all hosts use their shares at 300 hosts: 300 against 50; all restart after use: 336 against 214 (56 hosts), 1134 against 630 (189), 96 against 60 (6), 600 against 50 (300); restarts in turns: 280 against 214, 945 against 630, 102 against 60, 1500 against 50; load moves to other hosts: 1848 against 1334, 6237 against 4430, 228 against 180. They pass now.

--- a/daemon/direct_host_process.cpp
+++ b/daemon/direct_host_process.cpp
@@ -89,7 +89,7 @@
   Result.Fleet.Times = FleetMembershipTimes;
   Result.Fleet.RandomSeed = Incarnation.value();
   Result.Retries = {Host.Direct->RetryShare, Host.Direct->RetrySlack,
-                    Host.Direct->RetryWindow};
+                    Host.Direct->RetryWindow, Host.Direct->IsFirstStart};
   return Result;
 }
 
--- a/direct/retry_budget.cpp
+++ b/direct/retry_budget.cpp
@@ -6,12 +6,26 @@
 
 namespace {
 
-/// Share of the fleet's limits that the hosts use together. RetryBudget says
-/// why the rest stays unused.
-constexpr double UsedShareOfLimits = 0.75;
-/// Retries added to the share of each host, so that it may send one right after
-/// its start.
-constexpr double InitialRetries = 1;
+/// Part of the slack that the hosts use together.
+constexpr double UsedShareOfSlack = 0.9;
+/// Part of Share that a request earns. The hosts' last retries in a window of
+/// the service may be a window apart, so that they were earned by requests of
+/// two windows, of which the limit counts the greater.
+constexpr double EarnedShare = 0.5;
+/// Longest time between the decision to send a retry and its arrival at the
+/// server that is allowed for, as a part of the window.
+constexpr double TransitShare = 0.2;
+/// After the first start of a fleet, time until hosts have found each other.
+constexpr Duration FirstDiscovery = std::chrono::seconds(3);
+
+Duration maxTransit(const RetryLimits &Limits) {
+  return scaled(Limits.Window, TransitShare);
+}
+
+void dropUntil(std::deque<Instant> &Times, Instant Last) {
+  while (!Times.empty() && Times.front() <= Last)
+    Times.pop_front();
+}
 
 } // namespace
 
@@ -20,19 +34,30 @@
   Requests.push_back(Now);
 }
 
+double RetryBudget::slack(Instant Now, std::size_t Hosts) const {
+  // An earlier process of this host may have used its part just before it
+  // ended.
+  const Duration Wait =
+      Limits.IsFirstStart ? FirstDiscovery : Limits.Window + maxTransit(Limits);
+  if (Hosts == 0 || Now <= Start + Wait)
+    return 0;
+  return UsedShareOfSlack * Limits.Slack / static_cast<double>(Hosts);
+}
+
+double RetryBudget::allowed(Instant Now, std::size_t Hosts) {
+  dropExpired(Now);
+  return slack(Now, Hosts) +
+         EarnedShare * Limits.Share * static_cast<double>(Requests.size());
+}
+
+std::size_t RetryBudget::used(Instant Now) {
+  dropExpired(Now);
+  return Retries.size();
+}
+
 double RetryBudget::remaining(Instant Now, std::size_t Hosts,
                               double BudgetShare) {
-  dropExpired(Now);
-  // An earlier incarnation of this host may have used up its slack just before
-  // the restart, so the slack grows over the first window.
-  const double UptimeShare =
-      std::min(1.0, toSeconds(Now - Start) / toSeconds(Limits.Window));
-  const double Slack = UsedShareOfLimits * Limits.Slack * UptimeShare /
-                       static_cast<double>(std::max<std::size_t>(Hosts, 1));
-  const double EarnedByRequests =
-      UsedShareOfLimits * Limits.Share * static_cast<double>(Requests.size());
-  return BudgetShare * (Slack + EarnedByRequests) + InitialRetries -
-         static_cast<double>(Retries.size());
+  return BudgetShare * allowed(Now, Hosts) - static_cast<double>(used(Now));
 }
 
 bool RetryBudget::trySpend(Instant Now, std::size_t Hosts, double BudgetShare) {
@@ -42,10 +67,11 @@
   return true;
 }
 
+/// Retries count for longer than the window, because they may arrive late, and
+/// requests for as much less.
 void RetryBudget::dropExpired(Instant Now) {
-  for (std::deque<Instant> *Times : {&Requests, &Retries})
-    while (!Times->empty() && Times->front() + Limits.Window < Now)
-      Times->pop_front();
+  dropUntil(Retries, Now - Limits.Window - maxTransit(Limits));
+  dropUntil(Requests, Now - Limits.Window + maxTransit(Limits));
 }
 
 } // namespace mimosacart
--- a/direct/retry_budget.h
+++ b/direct/retry_budget.h
@@ -15,6 +15,9 @@
   double Share = 0.2;
   double Slack = 50;
   Duration Window = std::chrono::seconds(10);
+  /// The whole fleet starts for the first time, so that no earlier process of
+  /// any host has sent retries.
+  bool IsFirstStart = false;
 
   friend bool operator==(const RetryLimits &, const RetryLimits &) = default;
 };
@@ -22,23 +25,30 @@
 /// Counts requests and retries of one service at this host.
 ///
 /// Hosts share the limits without communication: each earns retries from its
-/// own requests and takes an equal part of the slack. A part of both stays
-/// unused, because hosts may disagree on the size of the fleet and a host that
-/// restarts has no record of the retries that it sent before.
+/// own requests and takes an equal part of the slack. What all hosts may send
+/// adds up to no more than the limits as long as no host assumes fewer hosts
+/// than there are, even if any of them restart at any time.
 class RetryBudget {
 public:
+  /// \p Start is the start of this process.
   RetryBudget(RetryLimits Limits, Instant Start)
       : Limits(Limits), Start(Start) {}
 
   void countRequest(Instant Now);
   /// Takes one retry if \p BudgetShare (0 to 1) of the budget is not used up.
-  /// \p Hosts is the number of hosts in the fleet.
+  /// \p Hosts is the number of hosts that share the slack; 0 if not known.
   bool trySpend(Instant Now, std::size_t Hosts, double BudgetShare);
   /// Returns the number of retries left; may be fractional or negative.
   double remaining(Instant Now, std::size_t Hosts, double BudgetShare);
+  /// Returns the number of retries that this host may send in a window.
+  double allowed(Instant Now, std::size_t Hosts);
+  /// Returns the number of retries that are counted as used.
+  std::size_t used(Instant Now);
 
 private:
   void dropExpired(Instant Now);
+  /// Returns this host's part of the slack.
+  double slack(Instant Now, std::size_t Hosts) const;
 
   const RetryLimits Limits;
   const Instant Start;
