Divide the retry limit by all hosts that may be at work

Cause, by tests of the gossip in virtual time: the slack was divided by the hosts that are reachable now. Hosts that have lost each other are all still at work, so their parts added up to more than the slack; a host that had found no other took all of it.

Change: FleetSize counts hosts by peer address for 30 minutes after they were last reachable, for 1 minute after they announced their end, and the seeds of the settings. Hosts tell a newcomer of those that they can't reach, six of them at least if it has met only other newcomers. A host that has learned of none and hasn't read the store's list takes no part of the slack. Nothing else uses this number; the subset of servers still goes by the reachable hosts. send lines bear it as sharing_hosts.

--- a/direct/direct_node.cpp
+++ b/direct/direct_node.cpp
@@ -51,6 +51,7 @@
   Result.Probe = Callbacks.Probe;
   Result.Finished = Callbacks.Reply;
   Result.HostCount = [this] { return Fleet.hosts(); };
+  Result.SharingHosts = [this] { return Fleet.sharingHosts(); };
   Result.CrashCount = [this](std::uint64_t Fingerprint) {
     return Fleet.crashes(Fingerprint);
   };
--- a/direct/direct_node.h
+++ b/direct/direct_node.h
@@ -132,6 +132,13 @@
   std::size_t servers() const { return Registry.size(); }
   /// Number of reachable entry hosts, including this one.
   std::size_t hosts() const { return Fleet.hosts(); }
+  /// Number of entry hosts that share limits of the fleet. See
+  /// FleetGossip::sharingHosts().
+  std::size_t sharingHosts() const { return Fleet.sharingHosts(); }
+  /// See RequestFlow::retryBudgets().
+  std::vector<RetryBudgetState> retryBudgets() const {
+    return Flow.retryBudgets(Now);
+  }
   std::size_t openRequests() const { return Flow.openRequests(); }
   /// What servers ask of this host.
   const ServerConstraints &constraints() const { return Flow.constraints(); }
--- a/direct/fleet_gossip.cpp
+++ b/direct/fleet_gossip.cpp
@@ -20,6 +20,14 @@
 constexpr std::size_t ViewBuckets = 32;
 /// Largest number of members that are sent to a host that was unknown here.
 constexpr std::size_t MaxInitialMembers = 24;
+/// Largest number of members out of reach that are sent to it as well.
+constexpr std::size_t MaxInitialUnreachable = 200;
+/// Number of hosts that tell a newcomer of the members out of reach. The first
+/// hosts that it meets may be newcomers themselves.
+constexpr std::size_t HostsThatTellNewcomers = 6;
+/// Time between two counts of the hosts that may be at work while no member
+/// changes.
+constexpr Duration SizeUpdateInterval = std::chrono::seconds(10);
 /// Smaller updates of table rows are sent to all hosts of a data centre by one
 /// of them.
 constexpr std::size_t MinForwardedBytes = 2U << 10U;
@@ -36,6 +44,7 @@
     : Settings(std::move(InitialSettings)), Callbacks(std::move(Callbacks)),
       LastEvent(Settings.RandomSeed), Random(Settings.RandomSeed),
       Notices(CrashNoticeLifetimes), Records(this->Callbacks.Records),
+      Size(Settings.Self.PeerAddress, Settings.Seeds),
       Sync(Settings.Self.Host, Settings.Sync, Settings.IsFirstStart, Tables,
            syncHooks()),
       Members(Settings.Self, Settings.Seeds, Settings.Times,
@@ -125,6 +134,7 @@
 void FleetGossip::refreshMembers() {
   if (!std::exchange(MembersChanged, false))
     return;
+  updateSize();
   std::vector<MemberRecord> FleetMembers = Members.reachablePeers();
   PeerAddresses.clear();
   for (const MemberRecord &Peer : FleetMembers)
@@ -134,6 +144,12 @@
   Sync.setMembers(FleetMembers);
 }
 
+void FleetGossip::updateSize() {
+  Size.onMembers(Now, Members.recordsForPeers(Now));
+  Size.expire(Now);
+  NextSizeUpdate = Now + SizeUpdateInterval;
+}
+
 void FleetGossip::onMemberChanged(const MemberRecord &Record,
                                   UpdateSource Source) {
   // If the host comes back, the difference of the clocks may be another.
@@ -170,11 +186,14 @@
   Notices.expire(Now);
   sendMemberUpdates();
   refreshMembers();
+  if (Now >= NextSizeUpdate)
+    updateSize();
   Sync.tick(Now);
   Records.tick(Now, Sync.rank(), Notices);
 }
 
 void FleetGossip::setSeeds(std::vector<std::string> Addresses) {
+  Size.onListed(Now, Addresses);
   Addresses.insert(Addresses.end(), Settings.Seeds.begin(),
                    Settings.Seeds.end());
   std::sort(Addresses.begin(), Addresses.end());
@@ -282,6 +301,8 @@
 }
 
 void FleetGossip::handle(const HostName & /*From*/, const Ack &Message) {
+  if (Members.find(Message.Self.Host) == nullptr)
+    sendUnreachableHosts(Message.Self);
   Members.onAck(Now, Message);
   compareViews(Message.Self.Host, Message.StateDigest, Message.Tables);
 }
@@ -290,6 +311,26 @@
   Members.onPingRequest(Now, From, Message);
 }
 
+/// Returns the hosts that this one cannot reach, but that may be at work.
+std::vector<MemberRecord>
+FleetGossip::unreachableHosts(const MemberRecord &Newcomer) const {
+  std::vector<MemberRecord> Result = Members.recordsForPeers(Now);
+  std::erase_if(Result, [this, &Newcomer](const MemberRecord &Member) {
+    return Member.Status != MemberStatus::Dead ||
+           Member.PeerAddress == Newcomer.PeerAddress ||
+           PeerAddresses.contains(Member.PeerAddress);
+  });
+  Result.resize(std::min(Result.size(), MaxInitialUnreachable));
+  return Result;
+}
+
+void FleetGossip::sendUnreachableHosts(const MemberRecord &Newcomer) {
+  SoftState Unreachable;
+  Unreachable.Members = unreachableHosts(Newcomer);
+  if (!Unreachable.Members.empty())
+    send(Newcomer.PeerAddress, std::move(Unreachable));
+}
+
 void FleetGossip::sendInitialView(const MemberRecord &Newcomer) {
   SoftState InitialView;
   InitialView.Members = Members.reachablePeers();
@@ -302,16 +343,25 @@
   std::shuffle(InitialView.Members.begin(), InitialView.Members.end(), Random);
   if (InitialView.Members.size() > MaxInitialMembers)
     InitialView.Members.resize(MaxInitialMembers);
+  for (MemberRecord &Member : unreachableHosts(Newcomer))
+    InitialView.Members.push_back(std::move(Member));
   InitialView.Crashes = Notices.crashes(Now);
   send(Newcomer.PeerAddress, std::move(InitialView));
 }
 
 void FleetGossip::handle(const HostName &From, const SoftState &Message) {
   // Records already known here were forwarded when they first arrived.
+  Size.onToldMembers(Now, Message.Members);
   SoftState Updates;
-  for (const MemberRecord &Record : Message.Members)
-    if (Members.merge(Now, Record, UpdateSource::Relayed))
-      Updates.Members.push_back(Record);
+  for (const MemberRecord &Record : Message.Members) {
+    const bool IsNew = Members.find(Record.Host) == nullptr;
+    if (!Members.merge(Now, Record, UpdateSource::Relayed))
+      continue;
+    Updates.Members.push_back(Record);
+    if (IsNew && Record.Status <= MemberStatus::Suspect &&
+        position(Record.PeerAddress).Rank < HostsThatTellNewcomers)
+      sendUnreachableHosts(Record);
+  }
   for (const CrashNotice &Notice : Message.Crashes)
     if (Notices.mergeCrash(Now, Notice)) {
       Updates.Crashes.push_back(Notice);
--- a/direct/fleet_gossip.h
+++ b/direct/fleet_gossip.h
@@ -8,6 +8,7 @@
 #include "core/membership.h"
 #include "direct/crash_records.h"
 #include "direct/dissemination_plan.h"
+#include "direct/fleet_size.h"
 #include "direct/flow_types.h"
 #include "direct/server_constraints.h"
 #include "direct/table_sync.h"
@@ -67,6 +68,9 @@
   std::vector<MemberRecord> serving() const { return Members.working(); }
   /// Number of reachable hosts in the fleet, including this one.
   std::size_t hosts() const;
+  /// Number of hosts that may be at work and so share limits of the fleet, the
+  /// unreachable ones included; 0 if not known. See FleetSize::hosts().
+  std::size_t sharingHosts() const { return Size.hosts(); }
 
   /// This host's position among all hosts in an order that depends on \p Key.
   HostPosition position(const std::string &Key) const;
@@ -125,9 +129,14 @@
   void sendMemberUpdates();
   /// Passes a changed list of members on to Dissemination and Sync.
   void refreshMembers();
+  /// Counts the hosts that may be at work.
+  void updateSize();
   /// Sends enough members to a host that was unknown here for it to discover
   /// the others.
   void sendInitialView(const MemberRecord &Newcomer);
+  void sendUnreachableHosts(const MemberRecord &Newcomer);
+  std::vector<MemberRecord>
+  unreachableHosts(const MemberRecord &Newcomer) const;
   /// Compares this host's view with the digest and the table versions of the
   /// peer \p From, and sends the peer a summary if the digests differ. A host
   /// answers a summary with its own records that differ. Since both hosts
@@ -173,6 +182,8 @@
   /// Addresses of the reachable peers, each once although a host that has
   /// restarted may be known under two names.
   std::set<std::string> PeerAddresses;
+  FleetSize Size;
+  Instant NextSizeUpdate{};
   TableSync Sync;
   Membership Members;
 };
--- /dev/null
+++ b/direct/fleet_size.h
@@ -0,0 +1,49 @@
+/// \file
+/// The number of hosts that share limits of the whole fleet.
+#pragma once
+
+#include "core/peer_messages.h"
+#include "core/time.h"
+
+#include <cstddef>
+#include <map>
+#include <string>
+#include <vector>
+
+namespace mimosacart {
+
+/// Counts the hosts that may be at work, whether they can be reached or not.
+///
+/// A host that cannot be reached may still serve callers and use its part of a
+/// limit. It is therefore counted for a long time, by its peer address, which
+/// it keeps when it restarts.
+class FleetSize {
+public:
+  /// \p Self is the peer address of this host, \p Seeds those that its settings
+  /// name.
+  FleetSize(std::string Self, const std::vector<std::string> &Seeds);
+
+  /// Takes the known records of all hosts, the unreachable ones included.
+  void onMembers(Instant Now, const std::vector<MemberRecord> &Members);
+  /// Takes records that another host sent, of which dead hosts may be unknown
+  /// here.
+  void onToldMembers(Instant Now, const std::vector<MemberRecord> &Members);
+  /// Takes the peer addresses that the store lists.
+  void onListed(Instant Now, const std::vector<std::string> &Addresses);
+  /// Drops the hosts that have been out of reach for long.
+  void expire(Instant Now);
+
+  /// Number of hosts that may be at work, this one included. 0 as long as this
+  /// host has neither learned of another one nor read the store's list.
+  std::size_t hosts() const { return Known ? ForgetAt.size() + 1 : 0; }
+
+private:
+  void add(const std::string &Address, Instant Until);
+
+  const std::string Self;
+  bool Known = false;
+  /// Other hosts by their peer addresses.
+  std::map<std::string, Instant> ForgetAt;
+};
+
+} // namespace mimosacart
--- a/direct/flow_types.h
+++ b/direct/flow_types.h
@@ -79,6 +79,15 @@
   std::uint64_t InvalidWishes = 0;
 };
 
+/// Retries to one service, for metrics.
+struct RetryBudgetState {
+  ServiceName Service;
+  /// Retries that count as used.
+  std::size_t Used = 0;
+  /// Retries that this host may have used at once.
+  double Allowed = 0;
+};
+
 /// Formats \p Value for a log field, in whole milliseconds.
 inline std::string toMsText(Duration Value) {
   return std::to_string(wholeMilliseconds(Value));
--- a/direct/request_flow.cpp
+++ b/direct/request_flow.cpp
@@ -64,6 +64,14 @@
   return Budgets.try_emplace(Service, Limits, Start).first->second;
 }
 
+std::vector<RetryBudgetState> RequestFlow::retryBudgets(Instant Now) const {
+  std::vector<RetryBudgetState> Result;
+  for (const auto &[Service, Budget] : Budgets)
+    Result.push_back({Service, Budget.used(Now),
+                      Budget.allowed(Now, Callbacks.SharingHosts())});
+  return Result;
+}
+
 void RequestFlow::sendCall(Instant Now, FlowState &Flow,
                            const RankedServer &Target) {
   Flow.ChoosingServer = false;
@@ -90,7 +98,7 @@
     const double BudgetShare = Flow.OpenCalls.empty() ? Policy.RetryBudgetShare
                                                       : Policy.HedgeBudgetShare;
     if (!findBudget(Flow.Request.Service.Name)
-             .trySpend(Now, Callbacks.HostCount(), BudgetShare)) {
+             .trySpend(Now, Callbacks.SharingHosts(), BudgetShare)) {
       if (Flow.OpenCalls.empty())
         finishWithFailure(Now, Flow, RefusalReason::Overloaded);
       else
@@ -127,7 +135,7 @@
        {"figures_age_ms", LoadAge},
        {"candidates", std::to_string(Flow.ProbedServers.size())},
        {"remaining_ms", toMsText(Remaining)},
-       {"sharing_hosts", std::to_string(Callbacks.HostCount())},
+       {"sharing_hosts", std::to_string(Callbacks.SharingHosts())},
        {"why", !IsRetry                 ? "first"
                : Flow.OpenCalls.empty() ? "repeat"
                                         : "hedge"}});
@@ -327,7 +335,7 @@
   if (isQuarantined(Flow))
     return false;
   return Flow.Attempts == 0 || findBudget(Flow.Request.Service.Name)
-                                       .remaining(Now, Callbacks.HostCount(),
+                                       .remaining(Now, Callbacks.SharingHosts(),
                                                   Policy.RetryBudgetShare) >= 1;
 }
 
--- a/direct/request_flow.h
+++ b/direct/request_flow.h
@@ -82,8 +82,10 @@
     std::function<void(CallId)> Cancel;
     std::function<void(const DirectProbe &)> Probe;
     std::function<void(const FlowResult &)> Finished;
-    /// Number of entry hosts that share the retry limits.
+    /// Number of reachable entry hosts, this one included.
     std::function<std::size_t()> HostCount;
+    /// Number of entry hosts that share the retry limits; 0 if not known.
+    std::function<std::size_t()> SharingHosts;
     /// Number of servers that requests with this fingerprint have crashed.
     std::function<std::size_t(std::uint64_t Fingerprint)> CrashCount;
     /// A server has run a request that is suspected of crashes to its end.
@@ -119,6 +121,8 @@
   /// What servers ask of this host.
   const ServerConstraints &constraints() const { return Constraints; }
   const FlowCounters &counters() const { return Counters; }
+  /// State of the retry budgets of all services that had requests.
+  std::vector<RetryBudgetState> retryBudgets(Instant Now) const;
 
 private:
   struct FlowState {
--- a/direct/request_flow_choice.cpp
+++ b/direct/request_flow_choice.cpp
@@ -233,7 +233,7 @@
   Flow.HedgeAt = Instant::max();
   Flow.Hedged = true;
   RetryBudget &Budget = findBudget(Flow.Request.Service.Name);
-  if (Budget.remaining(Now, Callbacks.HostCount(), Policy.HedgeBudgetShare) <
+  if (Budget.remaining(Now, Callbacks.SharingHosts(), Policy.HedgeBudgetShare) <
       1) {
     updateTimer(Flow);
     return;
--- a/direct/retry_budget.cpp
+++ b/direct/retry_budget.cpp
@@ -22,6 +22,12 @@
   return scaled(Limits.Window, TransitShare);
 }
 
+/// Number of entries of \p Times, which is sorted, after \p Last.
+std::size_t countAfter(const std::deque<Instant> &Times, Instant Last) {
+  return static_cast<std::size_t>(
+      Times.end() - std::upper_bound(Times.begin(), Times.end(), Last));
+}
+
 void dropUntil(std::deque<Instant> &Times, Instant Last) {
   while (!Times.empty() && Times.front() <= Last)
     Times.pop_front();
@@ -29,8 +35,18 @@
 
 } // namespace
 
+/// Retries count for longer than the window, because they may arrive late, and
+/// requests for as much less.
+Instant RetryBudget::lastExpiredRetry(Instant Now) const {
+  return Now - Limits.Window - maxTransit(Limits);
+}
+
+Instant RetryBudget::lastExpiredRequest(Instant Now) const {
+  return Now - Limits.Window + maxTransit(Limits);
+}
+
 void RetryBudget::countRequest(Instant Now) {
-  dropExpired(Now);
+  dropUntil(Requests, lastExpiredRequest(Now));
   Requests.push_back(Now);
 }
 
@@ -44,34 +60,27 @@
   return UsedShareOfSlack * Limits.Slack / static_cast<double>(Hosts);
 }
 
-double RetryBudget::allowed(Instant Now, std::size_t Hosts) {
-  dropExpired(Now);
+double RetryBudget::allowed(Instant Now, std::size_t Hosts) const {
+  const std::size_t Earning = countAfter(Requests, lastExpiredRequest(Now));
   return slack(Now, Hosts) +
-         EarnedShare * Limits.Share * static_cast<double>(Requests.size());
+         EarnedShare * Limits.Share * static_cast<double>(Earning);
 }
 
-std::size_t RetryBudget::used(Instant Now) {
-  dropExpired(Now);
-  return Retries.size();
+std::size_t RetryBudget::used(Instant Now) const {
+  return countAfter(Retries, lastExpiredRetry(Now));
 }
 
 double RetryBudget::remaining(Instant Now, std::size_t Hosts,
-                              double BudgetShare) {
+                              double BudgetShare) const {
   return BudgetShare * allowed(Now, Hosts) - static_cast<double>(used(Now));
 }
 
 bool RetryBudget::trySpend(Instant Now, std::size_t Hosts, double BudgetShare) {
   if (remaining(Now, Hosts, BudgetShare) < 1)
     return false;
+  dropUntil(Retries, lastExpiredRetry(Now));
   Retries.push_back(Now);
   return true;
 }
 
-/// Retries count for longer than the window, because they may arrive late, and
-/// requests for as much less.
-void RetryBudget::dropExpired(Instant Now) {
-  dropUntil(Retries, Now - Limits.Window - maxTransit(Limits));
-  dropUntil(Requests, Now - Limits.Window + maxTransit(Limits));
-}
-
 } // namespace mimosacart
--- a/direct/retry_budget.h
+++ b/direct/retry_budget.h
@@ -39,14 +39,16 @@
   /// \p Hosts is the number of hosts that share the slack; 0 if not known.
   bool trySpend(Instant Now, std::size_t Hosts, double BudgetShare);
   /// Returns the number of retries left; may be fractional or negative.
-  double remaining(Instant Now, std::size_t Hosts, double BudgetShare);
+  double remaining(Instant Now, std::size_t Hosts, double BudgetShare) const;
   /// Returns the number of retries that this host may send in a window.
-  double allowed(Instant Now, std::size_t Hosts);
+  double allowed(Instant Now, std::size_t Hosts) const;
   /// Returns the number of retries that are counted as used.
-  std::size_t used(Instant Now);
+  std::size_t used(Instant Now) const;
 
 private:
-  void dropExpired(Instant Now);
+  /// Retries and requests up to these times no longer count.
+  Instant lastExpiredRetry(Instant Now) const;
+  Instant lastExpiredRequest(Instant Now) const;
   /// Returns this host's part of the slack.
   double slack(Instant Now, std::size_t Hosts) const;
 
--- /dev/null
+++ b/tests/direct/fleet_size_test.cpp
@@ -0,0 +1,130 @@
+/// \file
+/// The number of hosts that share limits of the whole fleet. In an incident a
+/// service got more repeats than allowed, because hosts that had lost each
+/// other divided the limit by the hosts that they still reached.
+#include "tests/direct/gossip_fleet.h"
+
+namespace mimosacart {
+namespace {
+
+class FleetSizeTest : public FleetGossipTest {
+protected:
+  static constexpr unsigned Count = 56;
+
+  void startWholeFleet() {
+    startFleet(Count);
+    advanceTime(6s);
+    ASSERT_EQ(countHostsWithFullView(), Count);
+  }
+  void restartHost(unsigned Number) {
+    const unsigned Part = Hosts.at(addressOf(Number)).NetworkPart;
+    startHost(Number, "~2");
+    Hosts.at(addressOf(Number)).NetworkPart = Part;
+  }
+  void cutOff(unsigned From, unsigned To) {
+    for (unsigned Number = From; Number < To; ++Number)
+      Hosts.at(addressOf(Number)).NetworkPart = 1;
+  }
+  std::size_t sharingHosts(unsigned Number) const {
+    return Hosts.at(addressOf(Number)).Gossip->sharingHosts();
+  }
+  /// Sum of the shares that all hosts take; 1 is the whole limit.
+  double sumOfShares() const {
+    double Sum = 0;
+    for (const auto &[Address, Node] : Hosts)
+      if (!Node.Down && Node.Gossip->sharingHosts() > 0)
+        Sum += 1 / static_cast<double>(Node.Gossip->sharingHosts());
+    return Sum;
+  }
+  static constexpr double WholeLimit = 1 + 1e-9;
+};
+
+TEST_F(FleetSizeTest, sharingHosts_calm_isNumberOfHosts) {
+  startWholeFleet();
+  for (unsigned Number = 0; Number < Count; ++Number)
+    EXPECT_EQ(sharingHosts(Number), Count) << Number;
+}
+
+TEST_F(FleetSizeTest, sharingHosts_oneHostCutOff_sharesAddUpToLimit) {
+  startWholeFleet();
+  cutOff(7, 8);
+  advanceTime(20s);
+  EXPECT_LE(sumOfShares(), WholeLimit);
+  // Longer than members keep the records of hosts that do not answer.
+  advanceTime(3min);
+  EXPECT_LE(sumOfShares(), WholeLimit);
+}
+
+TEST_F(FleetSizeTest, sharingHosts_halvesOfFleetCutOff_sharesAddUpToLimit) {
+  startWholeFleet();
+  cutOff(0, Count / 2);
+  advanceTime(20s);
+  EXPECT_LE(sumOfShares(), WholeLimit);
+  advanceTime(3min);
+  EXPECT_LE(sumOfShares(), WholeLimit);
+}
+
+TEST_F(FleetSizeTest,
+       sharingHosts_allWentSilentAndCameBack_sharesAddUpToLimit) {
+  startWholeFleet();
+  for (unsigned Number = 0; Number < Count; ++Number)
+    Hosts.at(addressOf(Number)).NetworkPart = Number;
+  advanceTime(5s);
+  EXPECT_LE(sumOfShares(), WholeLimit);
+  for (unsigned Number = 0; Number < Count; ++Number)
+    Hosts.at(addressOf(Number)).NetworkPart = 0;
+  advanceTime(1s);
+  EXPECT_LE(sumOfShares(), WholeLimit);
+}
+
+TEST_F(FleetSizeTest,
+       sharingHosts_hostRestartsWhileOthersAreCutOff_countsThem) {
+  startWholeFleet();
+  cutOff(0, Count / 2);
+  advanceTime(60s);
+  for (unsigned Number = 40; Number < 50; ++Number)
+    restartHost(Number);
+  // A new process takes no part of the limit earlier.
+  advanceTime(12s);
+  EXPECT_LE(sumOfShares(), WholeLimit);
+}
+
+TEST_F(FleetSizeTest, sharingHosts_noOtherHostFound_takesNoShare) {
+  startWholeFleet();
+  cutOff(50, 51);
+  restartHost(50);
+  advanceTime(20s);
+  EXPECT_EQ(sharingHosts(50), 0U);
+}
+
+TEST_F(FleetSizeTest,
+       sharingHosts_storeListsNoOtherHost_countsSeedsOfSettings) {
+  startHost(9, "~1");
+  Hosts.at(addressOf(9)).Gossip->setSeeds({addressOf(9)});
+  // The three seeds of the settings count, since they may be at work.
+  EXPECT_EQ(sharingHosts(9), 4U);
+}
+
+TEST_F(FleetSizeTest, sharingHosts_hostRestarts_countsOnce) {
+  startWholeFleet();
+  restartHost(30);
+  advanceTime(10s);
+  for (unsigned Number = 0; Number < Count; ++Number)
+    EXPECT_EQ(sharingHosts(Number), Count) << Number;
+}
+
+TEST_F(FleetSizeTest, sharingHosts_hostsLeft_countOthersAfterOneMinute) {
+  startWholeFleet();
+  for (unsigned Number = 40; Number < Count; ++Number)
+    Hosts.at(addressOf(Number)).Gossip->finish(Now);
+  advanceTime(100ms);
+  for (unsigned Number = 40; Number < Count; ++Number)
+    Hosts.at(addressOf(Number)).Down = true;
+  advanceTime(20s);
+  EXPECT_EQ(sharingHosts(3), Count);
+  advanceTime(55s);
+  EXPECT_EQ(sharingHosts(3), 40U);
+}
+
+} // namespace
+} // namespace mimosacart
--- a/tests/direct/flow_harness.cpp
+++ b/tests/direct/flow_harness.cpp
@@ -44,6 +44,7 @@
       throw std::logic_error("request finished twice");
   };
   Result.HostCount = [] { return std::size_t{1}; };
+  Result.SharingHosts = [] { return std::size_t{1}; };
   Result.CrashesExcused = [this](std::uint64_t Fingerprint) {
     CrashCounts.erase(Fingerprint);
   };
--- a/tests/direct/gossip_fleet.h
+++ b/tests/direct/gossip_fleet.h
@@ -26,6 +26,8 @@
     std::unique_ptr<FleetGossip> Gossip;
     std::string DataCentre;
     bool Down = false;
+    /// Messages between different parts of the network are lost.
+    unsigned NetworkPart = 0;
     /// Bytes of table rows that this host sent.
     std::uint64_t RowBytesSent = 0;
     std::map<StoreTable, ReadMode> Modes;
@@ -164,7 +166,8 @@
         const QueuedMessage Delivered = QueuedMessages.top();
         QueuedMessages.pop();
         Host &To = Hosts.at(Delivered.To);
-        if (!To.Down)
+        const Host &From = Hosts.at(Delivered.From);
+        if (!To.Down && To.NetworkPart == From.NetworkPart)
           To.Gossip->onMessage(Now, Delivered.Message);
       }
       for (auto &[Address, Node] : Hosts)
