--- a/daemon/direct_metrics.cpp
+++ b/daemon/direct_metrics.cpp
@@ -39,7 +39,11 @@
       StoreCallsGauge(prometheus::BuildGauge()
                           .Name("mimosacart_store_calls")
                           .Help("Calls to the store so far, by cause")
-                          .Register(Registry)) {}
+                          .Register(Registry)),
+      RetryBudgetGauge(prometheus::BuildGauge()
+                           .Name("mimosacart_retry_budget")
+                           .Help("Retries of this host in a window")
+                           .Register(Registry)) {}
 
 void DirectMetrics::countReply(const FlowResult &Result) {
   const bool IsAnswered = Result.Reply != nullptr;
@@ -84,6 +88,14 @@
   Set("quiet_servers", Constraints.quietServers(Core.latestEvent()));
   Set("servers", Core.servers());
   Set("hosts", Core.hosts());
+  Set("sharing_hosts", Core.sharingHosts());
+  for (const RetryBudgetState &Budget : Core.retryBudgets()) {
+    const std::string &Service = Budget.Service.value();
+    RetryBudgetGauge.Add({{"service", Service}, {"part", "used"}})
+        .Set(static_cast<double>(Budget.Used));
+    RetryBudgetGauge.Add({{"service", Service}, {"part", "allowed"}})
+        .Set(Budget.Allowed);
+  }
   Set("ready", Core.ready() ? 1 : 0);
   Set("configuration_version", Core.configurationVersion());
   Set("routes_table_version", Core.tableVersion(StoreTable::Routes));
--- a/daemon/direct_metrics.h
+++ b/daemon/direct_metrics.h
@@ -43,6 +43,7 @@
   prometheus::Family<prometheus::Histogram> &AddedSeconds;
   prometheus::Family<prometheus::Gauge> &StateGauge;
   prometheus::Family<prometheus::Gauge> &StoreCallsGauge;
+  prometheus::Family<prometheus::Gauge> &RetryBudgetGauge;
 };
 
 } // namespace mimosacart
