Show that many hosts that end at once are detected too late

What callers saw: none yet.

Cause: each host pings one other in 800 ms, in random order. With 36 of 56 gone the remaining 20 meet each dead host every 2.2 s on average, some only after more than 4 s, and then need another 1.5 s.

--- a/tests/direct/fleet_gossip_test.cpp
+++ b/tests/direct/fleet_gossip_test.cpp
@@ -58,5 +58,18 @@
   EXPECT_EQ(countHostsWithFullView(), 24U);
 }
 
+/// The directory of a host that still runs names dead hosts to callers until
+/// they are detected.
+TEST_F(FleetGossipTest, tick_mostHostsDieAtOnce_allAreDetectedWithin6s) {
+  constexpr unsigned Count = 56;
+  constexpr unsigned Dead = 36;
+  startFleet(Count);
+  advanceTime(5s);
+  for (unsigned Number = 0; Number < Dead; ++Number)
+    Hosts.at(addressOf(Number)).Down = true;
+  advanceTime(6s);
+  EXPECT_EQ(countHostsWithFullView(), Count - Dead);
+}
+
 } // namespace
 } // namespace mimosacart
