Pass over informational responses of any status

A call whose server sent an informational response other than 100 to 102 (103, Early Hints) ended as broken, so that its caller got 502 although the server ran the request and answered it.

Cause: Beast counts 103 as a response that ends with its connection, since it does not know the status; a dropped response that ends its connection ends the call. Change: no informational response has a body.

--- a/net/http_client.cpp
+++ b/net/http_client.cpp
@@ -296,8 +296,11 @@
   // Beast's need_eof() is also true for a response with a length that closes
   // the connection.
   const bool HasLength = Message.has_content_length() || Message.chunked();
+  // An informational response has no body, whatever its status.
+  const bool HasNoBody =
+      Call.Request.Method == "HEAD" || Message.result_int() < FirstFinalStatus;
   const bool EndsWithConnection =
-      Message.need_eof() && !HasLength && Call.Request.Method != "HEAD";
+      Message.need_eof() && !HasLength && !HasNoBody;
   if (EndsWithConnection && !Call.MayEndWithConnection) {
     finish(make_error_code(NetError::Malformed));
     return;
--- a/tests/net/refusal_copy_test.cpp
+++ b/tests/net/refusal_copy_test.cpp
@@ -193,6 +193,18 @@
   EXPECT_LE(Server.connections(), 8U);
 }
 
+// An informational response is no answer, whatever it promises.
+TEST_F(RefusalCopyTest, informationalResponse_withPromise_isNoRefusal) {
+  OnRequest = [this](std::size_t Connection, const std::string &) {
+    Server.write(Connection, "HTTP/1.1 103 Early Hints\r\nX-Request-Id: a\r\n"
+                             "X-Not-Executed: 1\r\n\r\n");
+    Server.writeAfter(50ms, Connection, makeAnswer("a"));
+  };
+  const ServerCallResult Result = callServer("a");
+  ASSERT_EQ(Result.End, CallEnd::Answered);
+  EXPECT_EQ(Result.Answer.Reply->Status, 200U);
+}
+
 TEST_F(RefusalCopyTest, connection_passedOver_staysInPool) {
   refuseThenRun("a", "");
   callServer("a");
