--- a/tests/platform/http_codec_test.cpp
+++ b/tests/platform/http_codec_test.cpp
@@ -125,8 +125,20 @@
   }
   EXPECT_EQ(readWishesOf(503, {{"Retry-After", "1"}, {"Retry-After", "1"}}),
             Ignored);
-  EXPECT_EQ(readWishesOf(200, {{"Server-Limit", "1"}, {"Server-Limit", "9"}}),
-            Ignored);
+}
+
+// Guards against sending without a limit to a server whose limit comes twice,
+// as a proxy may repeat it.
+TEST(HttpCodecTest, readServerAnswer_severalLimits_lowestCountsAndIsMarked) {
+  const ServerWishes Lowest{1.5, false, {}, true};
+  EXPECT_EQ(readWishesOf(200, {{"Server-Limit", "1.5"}, {"Server-Limit", "9"}}),
+            Lowest);
+  EXPECT_EQ(
+      readWishesOf(503, {{"Server-Limit", "1.5"}, {"server-limit", "1.5"}}),
+      Lowest);
+  EXPECT_EQ(
+      readWishesOf(500, {{"Server-Limit", "many"}, {"Server-Limit", "1.5"}}),
+      Lowest);
 }
 
 TEST(HttpCodecTest, readServerAnswer_encodedBody_isNotSigned) {
