Let the stand-in of the store come back from an older copy

The platform's drill: the store is away for a moment and comes back from a copy some seconds old. Versions after the copy are given out again, a read of changes after a version that it doesn't have gets 410, and Store-Era, in all answers, rises by one. The stand-in keeps its changes to make such copies, by age or by version, and can send any text in place of the era. It names no era unless a test asks for it, so nothing changes for the tests there are.

--- a/tests/standins/store_standin.cpp
+++ b/tests/standins/store_standin.cpp
@@ -6,6 +6,7 @@
 
 #include <algorithm>
 #include <cctype>
+#include <utility>
 
 namespace mimosacart {
 
@@ -74,6 +75,7 @@
 std::uint64_t StoreStandin::write(const std::string &Table,
                                   const std::string &Key, Row Next) {
   Next.Version = ++Version;
+  Changes.push_back({std::chrono::steady_clock::now(), Table, Key, Next});
   Tables[Table][Key] = std::move(Next);
   wakeFeeds();
   return Version;
@@ -81,6 +83,53 @@
 
 void StoreStandin::forgetHistory() { HistoryFrom = Version + 1; }
 
+void StoreStandin::replaceEraText(std::optional<std::string> Text) {
+  IsEraTextReplaced = true;
+  EraText = std::move(Text);
+}
+
+void StoreStandin::respond(HttpExchange &Exchange,
+                           HttpResponse Response) const {
+  std::optional<std::string> Text;
+  if (IsEraTextReplaced)
+    Text = EraText;
+  else if (Era)
+    Text = std::to_string(*Era);
+  if (Text)
+    Response.Headers.push_back({"Store-Era", *Text});
+  Exchange.respond(std::move(Response));
+}
+
+void StoreStandin::goAway() {
+  Mood = StoreMood::Refusing;
+  for (const Feed &Each : std::exchange(Feeds, {})) {
+    Each.Limit->cancel();
+    respond(*Each.Exchange, {503, {}, ""});
+  }
+}
+
+void StoreStandin::returnFromCopy(std::chrono::milliseconds Age) {
+  const auto CopiedAt = std::chrono::steady_clock::now() - Age;
+  const auto FirstLost = std::find_if(
+      Changes.begin(), Changes.end(),
+      [CopiedAt](const Change &Each) { return Each.At > CopiedAt; });
+  returnFromVersion(FirstLost == Changes.end() ? Version
+                                               : FirstLost->Result.Version - 1);
+}
+
+void StoreStandin::returnFromVersion(std::uint64_t CopyVersion) {
+  std::erase_if(Changes, [CopyVersion](const Change &Each) {
+    return Each.Result.Version > CopyVersion;
+  });
+  Tables.clear();
+  for (const Change &Each : Changes)
+    Tables[Each.Table][Each.Key] = Each.Result;
+  Version = std::min(Version, CopyVersion);
+  HistoryFrom = std::min(HistoryFrom, Version + 1);
+  Era = Era.value_or(0) + 1;
+  Mood = StoreMood::Sound;
+}
+
 std::string StoreStandin::listRows(const std::string &Table,
                                    std::uint64_t After,
                                    bool WithRemoved) const {
@@ -129,26 +178,27 @@
     return;
   }
   if (Mood == StoreMood::Refusing) {
-    Exchange->respond({503, {}, ""});
+    respond(*Exchange, {503, {}, ""});
     return;
   }
   const bool Malformed =
       std::any_of(Request.Target.begin(), Request.Target.end(),
                   [](unsigned char Each) { return std::iscntrl(Each) != 0; });
   if (Malformed) {
-    Exchange->respond({400, {}, ""});
+    respond(*Exchange, {400, {}, ""});
     return;
   }
   const auto Query = readQuery(Request.Target);
   const std::string Path = Request.Target.substr(0, Request.Target.find('?'));
   if (Path == "/v1/rows-get")
-    Exchange->respond({200, {}, listPage(Query.at("table"), Query.at("from"))});
+    respond(*Exchange,
+            {200, {}, listPage(Query.at("table"), Query.at("from"))});
   else if (Path == "/v1/rows-feed")
     onFeed(Query, Exchange);
   else if (Path == "/v1/rows-tx")
     onTransaction(Request.Body, Exchange);
   else
-    Exchange->respond({404, {}, ""});
+    respond(*Exchange, {404, {}, ""});
 }
 
 void StoreStandin::onFeed(const std::map<std::string, std::string> &Query,
@@ -157,8 +207,8 @@
   Next.Table = Query.at("table");
   Next.After = std::stoull(Query.at("after"));
   Next.Exchange = Exchange;
-  if (Next.After + 1 < HistoryFrom) {
-    Exchange->respond({410, {}, ""});
+  if (Next.After + 1 < HistoryFrom || Next.After > Version) {
+    respond(*Exchange, {410, {}, ""});
     return;
   }
   Next.Limit = std::make_shared<asio::steady_timer>(
@@ -172,7 +222,7 @@
         });
     if (Found == Feeds.end())
       return;
-    Exchange->respond({200, {}, listRows(Found->Table, Found->After, true)});
+    respond(*Exchange, {200, {}, listRows(Found->Table, Found->After, true)});
     Feeds.erase(Found);
   });
   Feeds.push_back(std::move(Next));
@@ -191,7 +241,7 @@
     if (!HasUpdates)
       return false;
     Each.Limit->cancel();
-    Each.Exchange->respond({200, {}, listRows(Each.Table, Each.After, true)});
+    respond(*Each.Exchange, {200, {}, listRows(Each.Table, Each.After, true)});
     return true;
   });
 }
@@ -207,7 +257,7 @@
     Silenced.push_back(Exchange);
     return;
   }
-  Exchange->respond({200, {}, Json({{"ver", Version}}).dump()});
+  respond(*Exchange, {200, {}, Json({{"ver", Version}}).dump()});
 }
 
 } // namespace mimosacart
