--- a/core/peer_messages.h
+++ b/core/peer_messages.h
@@ -6,6 +6,7 @@
 #include "core/configuration.h"
 #include "core/ids.h"
 #include "core/request.h"
+#include "core/store_version.h"
 
 #include <cstdint>
 #include <optional>
@@ -79,10 +80,10 @@
 
 /// Versions up to which a host has the rows of each replicated table.
 struct TableVersions {
-  std::uint64_t Routes = 0;
-  std::uint64_t Servers = 0;
+  StoreVersion Routes;
+  StoreVersion Servers;
 
-  std::uint64_t of(StoreTable Table) const {
+  StoreVersion of(StoreTable Table) const {
     return Table == StoreTable::Routes ? Routes : Servers;
   }
   friend bool operator==(const TableVersions &,
@@ -93,7 +94,7 @@
 struct TableRow {
   std::string Key;
   /// Increases with each write to the store.
-  std::uint64_t Version = 0;
+  StoreVersion Version;
   bool Removed = false;
   std::string Value;
 
@@ -288,17 +289,19 @@
 struct TableRequest {
   StoreTable Table = StoreTable::Routes;
   /// Only rows that changed after this version are requested.
-  std::uint64_t After = 0;
+  StoreVersion After;
 };
 
 /// The sender's rows of a table up to a version. A message without rows
 /// confirms that the sender is up to date with the store.
 struct TableRows {
   StoreTable Table = StoreTable::Routes;
-  /// The message holds every row that changed after this version.
-  std::uint64_t After = 0;
-  /// The version up to which the sender has the table's rows.
-  std::uint64_t UpTo = 0;
+  /// The message holds every row that changed after this version. Unless it is
+  /// whole, this is in the era of UpTo or before all rows.
+  StoreVersion After;
+  /// The version up to which the sender has the table's rows; they are all of
+  /// its era.
+  StoreVersion UpTo;
   /// Whether the message holds all rows of the table, not only changed rows.
   bool Whole = false;
   /// Time since the store confirmed to the sender that `UpTo` is the latest
--- a/daemon/direct_host_process.cpp
+++ b/daemon/direct_host_process.cpp
@@ -125,7 +125,7 @@
                  logInvalidMessages(Log, "server")),
       StoreHttp(IoContext, MaxAnswerBytes, Memory.Platform,
                 logInvalidMessages(Log, "store")),
-      Store(StoreHttp, Settings.PlatformAddress, StoreTimeout),
+      Store(StoreHttp, Settings.PlatformAddress, StoreTimeout, makeEraHooks()),
       CrashRecordRows(Store, Log, makeCrashRecordHooks()),
       HostRegistration(Store, Log, Settings.Name.value(), Settings.PeerAddress),
       Peers(
@@ -210,6 +210,7 @@
   Result.Configured = [this](const RouteConfiguration &Configuration) {
     applyConfiguration(Configuration);
   };
+  Result.StoreEraChanged = [this] { HostRegistration.renew(); };
   Result.Log = [this](const char *Event, const FlowFields &Fields) {
     Log.info(Event, Fields);
   };
@@ -217,6 +218,22 @@
   return Result;
 }
 
+StoreEraReader::Hooks DirectHostProcess::makeEraHooks() {
+  StoreEraReader::Hooks Result;
+  Result.Changed = [this](std::optional<std::uint64_t> Before,
+                          std::uint64_t Latest) {
+    // The first rows that the core gets tell it the era in which it starts.
+    if (Before)
+      Core.onStoreEra(now(), Latest);
+  };
+  Result.Faulty = [this](EraFault Fault, const std::string &Text) {
+    Log.error("store_era_unusable", {{"fault", toString(Fault)},
+                                     {"text", Text},
+                                     {"era", std::to_string(Core.storeEra())}});
+  };
+  return Result;
+}
+
 CrashRecordStore::Hooks DirectHostProcess::makeCrashRecordHooks() {
   CrashRecordStore::Hooks Result;
   Result.Changed = [this](std::uint64_t Fingerprint, bool Succeeded) {
@@ -232,13 +249,13 @@
 TableFollower::Hooks DirectHostProcess::makeFollowerHooks(StoreTable Table) {
   TableFollower::Hooks Result;
   Result.TableRead = [this, Table](const std::vector<TableRow> &Rows,
-                                   std::uint64_t Version) {
+                                   StoreVersion Version) {
     const bool Accepted = Core.onWholeTable(now(), Table, Rows, Version);
     finishEvent();
     return Accepted;
   };
   Result.RowsChanged = [this, Table](const std::vector<TableRow> &Rows,
-                                     std::uint64_t Version) {
+                                     StoreVersion Version) {
     Core.onRows(now(), Table, Rows, Version);
     finishEvent();
   };
@@ -252,6 +269,7 @@
   };
   Result.KnownVersion = [this, Table] { return Core.tableVersion(Table); };
   Result.LongestRetry = [this] { return Core.longestStoreRetry(); };
+  Result.WholeReadDelay = [this] { return Core.wholeReadDelay(); };
   return Result;
 }
 
--- a/daemon/direct_host_process.h
+++ b/daemon/direct_host_process.h
@@ -49,6 +49,7 @@
   Instant now() const;
   DirectNode::Hooks makeCoreHooks();
   CrashRecordStore::Hooks makeCrashRecordHooks();
+  StoreEraReader::Hooks makeEraHooks();
   TableFollower::Hooks makeFollowerHooks(StoreTable Table);
   TableFollower &follower(StoreTable Table) {
     return Table == StoreTable::Routes ? RouteFollower : ServerFollower;
--- a/daemon/direct_metrics.cpp
+++ b/daemon/direct_metrics.cpp
@@ -86,8 +86,9 @@
   Set("hosts", Core.hosts());
   Set("ready", Core.ready() ? 1 : 0);
   Set("configuration_version", Core.configurationVersion());
-  Set("routes_table_version", Core.tableVersion(StoreTable::Routes));
-  Set("servers_table_version", Core.tableVersion(StoreTable::Servers));
+  Set("routes_table_version", Core.tableVersion(StoreTable::Routes).number());
+  Set("servers_table_version", Core.tableVersion(StoreTable::Servers).number());
+  Set("store_era", Core.storeEra());
   std::uint64_t AllStoreCalls = 0;
   for (const auto &[Cause, Calls] : StoreCalls) {
     StoreCallsGauge.Add({{"cause", Cause}}).Set(static_cast<double>(Calls));
--- a/daemon/host_rows.cpp
+++ b/daemon/host_rows.cpp
@@ -5,9 +5,10 @@
 namespace mimosacart {
 
 void HostRows::add() {
-  if (Added)
+  if (Added && !MayBeLost)
     return;
   Added = true;
+  MayBeLost = false;
   ++Calls;
   Store.writeRow(
       HostsTableName, Name, writeHost(PeerAddress),
--- a/daemon/host_rows.h
+++ b/daemon/host_rows.h
@@ -25,8 +25,12 @@
   HostRows(const HostRows &) = delete;
   HostRows &operator=(const HostRows &) = delete;
 
-  /// Writes this host's row unless it is there or being written.
+  /// Writes this host's row unless it is there or being written, or again if
+  /// the store may have lost it.
   void add();
+  /// Makes the next add() write this host's row again, because the store may
+  /// have lost it.
+  void renew() { MayBeLost = true; }
   /// Removes this host's row if it may be there.
   void remove();
   /// Passes the peer addresses of all hosts with a row to \p Done, unless the
@@ -42,6 +46,8 @@
   const std::string PeerAddress;
   /// Whether this host's row is in the store or being written.
   bool Added = false;
+  /// Whether the store may have lost the row since.
+  bool MayBeLost = false;
   std::uint64_t Calls = 0;
 };
 
--- a/daemon/table_follower.cpp
+++ b/daemon/table_follower.cpp
@@ -75,6 +75,10 @@
 }
 
 void TableFollower::onPage(StoreRows Page) {
+  if (Page.Version.era() != FirstPageVersion.era()) {
+    runAfter(BatchPause, [this] { readFrom(""); });
+    return;
+  }
   const bool HasMore = Page.More && !Page.Rows.empty();
   std::move(Page.Rows.begin(), Page.Rows.end(), std::back_inserter(PageRows));
   if (HasMore) {
@@ -83,19 +87,23 @@
     return;
   }
   recordRegained();
-  const std::uint64_t KnownVersion = Callbacks.KnownVersion();
+  const StoreVersion KnownVersion = Callbacks.KnownVersion();
   if (!Callbacks.TableRead(PageRows, FirstPageVersion)) {
     Log.info("store_read_is_old",
              {{"table", Table},
-              {"version", std::to_string(FirstPageVersion)},
-              {"known", std::to_string(KnownVersion)}});
-    runAfter(BatchPause, [this] { readFrom(""); });
+              {"version", std::to_string(FirstPageVersion.number())},
+              {"known", std::to_string(KnownVersion.number())}});
+    const bool IsOldEra = FirstPageVersion.era() < KnownVersion.era();
+    runAfter(IsOldEra ? Callbacks.LongestRetry() : BatchPause,
+             [this] { readFrom(""); });
     return;
   }
   HasRead = true;
-  Log.info("table_read", {{"table", Table},
-                          {"rows", std::to_string(PageRows.size())},
-                          {"version", std::to_string(FirstPageVersion)}});
+  Log.info("table_read",
+           {{"table", Table},
+            {"rows", std::to_string(PageRows.size())},
+            {"version", std::to_string(FirstPageVersion.number())},
+            {"era", std::to_string(FirstPageVersion.era())}});
   PageRows.clear();
   continueFollowing();
 }
@@ -148,11 +156,11 @@
 }
 
 void TableFollower::onChanges(StoreResult<StoreRows> Result) {
-  if (Result.has_error() && Result.error() == StoreError::HistoryGone) {
-    Log.info("store_history_gone",
-             {{"table", Table},
-              {"after", std::to_string(Callbacks.KnownVersion())}});
-    readFrom("");
+  const bool IsHistoryLost =
+      Result.has_error() && (Result.error() == StoreError::HistoryGone ||
+                             Result.error() == StoreError::EraChanged);
+  if (IsHistoryLost) {
+    onHistoryLost(Result.error());
     return;
   }
   if (Result.has_error()) {
@@ -171,12 +179,25 @@
     runAfter(BatchPause, [this] { continueFollowing(); });
 }
 
+void TableFollower::onHistoryLost(const std::error_code &Error) {
+  const StoreVersion Known = Callbacks.KnownVersion();
+  Log.info("store_history_gone", {{"table", Table},
+                                  {"why", Error.message()},
+                                  {"after", std::to_string(Known.number())}});
+  runAfter(Callbacks.WholeReadDelay(), [this, Known] {
+    if (Callbacks.KnownVersion() == Known)
+      readFrom("");
+    else
+      continueFollowing();
+  });
+}
+
 void TableFollower::onFailure(const std::error_code &Error) {
   if (Failures++ == 0) {
     Log.error("store_lost",
               {{"table", Table},
                {"why", Error.message()},
-               {"known", std::to_string(Callbacks.KnownVersion())}});
+               {"known", std::to_string(Callbacks.KnownVersion().number())}});
     Callbacks.StoreLost();
   }
   const Duration LongestPause =
--- a/daemon/table_follower.h
+++ b/daemon/table_follower.h
@@ -34,16 +34,17 @@
 
 /// Waits for changes of a table if the read mode requires it. Reads the whole
 /// table first unless peers have sent it, and again after the store has
-/// discarded changes that this host has not seen.
+/// discarded changes that this host has not seen or has come back from an older
+/// copy. Until the whole table is there, the rows known before stay in use.
 class TableFollower {
 public:
   struct Hooks {
     /// Called with all rows of the table as of a version. Returns false if they
     /// are older than the cached rows.
-    std::function<bool(const std::vector<TableRow> &, std::uint64_t Version)>
+    std::function<bool(const std::vector<TableRow> &, StoreVersion Version)>
         TableRead;
     /// Called with the rows that changed, up to a version.
-    std::function<void(const std::vector<TableRow> &, std::uint64_t Version)>
+    std::function<void(const std::vector<TableRow> &, StoreVersion Version)>
         RowsChanged;
     /// Called on the first failed call, not again until StoreRegained is
     /// called.
@@ -53,9 +54,12 @@
     std::function<void()> StoreRegained;
     /// Returns the version up to which the cached table is complete, from the
     /// store or from peers.
-    std::function<std::uint64_t()> KnownVersion;
+    std::function<StoreVersion()> KnownVersion;
     /// Returns the longest pause between calls to a store that does not answer.
     std::function<Duration()> LongestRetry;
+    /// Returns how long to wait for the whole table from peers before it is
+    /// read again because the store's changes do not continue the cached rows.
+    std::function<Duration()> WholeReadDelay;
   };
 
   TableFollower(boost::asio::io_context &Context, StoreClient &Store,
@@ -85,11 +89,15 @@
   /// Waits for further changes if the read mode requires it.
   void continueFollowing();
   /// Whether the whole table has been read, or peers have sent it.
-  bool hasTable() const { return HasRead || Callbacks.KnownVersion() > 0; }
+  bool hasTable() const {
+    return HasRead || Callbacks.KnownVersion() != StoreVersion();
+  }
   void retry();
   /// Ends the series of failures, if there is one.
   void recordRegained();
   void onChanges(StoreResult<StoreRows> Result);
+  /// The store's changes do not continue the cached rows, for reason \p Error.
+  void onHistoryLost(const std::error_code &Error);
   void onFailure(const std::error_code &Error);
   void runAfter(Duration Delay, std::function<void()> Task);
 
@@ -101,9 +109,10 @@
   std::unique_ptr<Timer> DelayTimer;
   /// The latest request for changes.
   std::shared_ptr<HttpCallHandle> ChangesCall;
-  /// Rows of the pages read so far, and the version of the first page.
+  /// Rows of the pages read so far, and the version of the first page. All
+  /// pages are of one era.
   std::vector<TableRow> PageRows;
-  std::uint64_t FirstPageVersion = 0;
+  StoreVersion FirstPageVersion;
   /// Whether the whole table has been read at least once.
   bool HasRead = false;
   /// Whether a page of the table is being read.
--- a/direct/crash_records.cpp
+++ b/direct/crash_records.cpp
@@ -13,7 +13,7 @@
   if (Found == Records.end())
     return;
   Record &Entry = Found->second;
-  if (Succeeded && Entry.Removing)
+  if (Succeeded && Entry.Removing && !Entry.MayBeLost)
     Records.erase(Found);
   else if (Succeeded || Entry.Removing)
     Entry.State = RecordState::Written;
@@ -27,6 +27,15 @@
     Records[Notice.Fingerprint].State = RecordState::Written;
 }
 
+void CrashRecords::onStoreEraChanged(Instant Now, std::size_t Rank) {
+  for (auto &[Fingerprint, Entry] : Records) {
+    Entry.MayBeLost = true;
+    Entry.RetryAt =
+        std::max(Entry.RetryAt,
+                 Now + RewriteDelayPerRank * static_cast<Duration::rep>(Rank));
+  }
+}
+
 void CrashRecords::tick(Instant Now, std::size_t Rank,
                         const ExpiringNotices &Notices) {
   readOnce(Now, Rank);
@@ -54,11 +63,11 @@
   const bool IsWritten = Entry.State == RecordState::Written;
   if (!IsWritten && Crashes == 0)
     return true;
-  const bool Write = !IsWritten && Crashes >= MinCrashes;
+  const bool Write = (!IsWritten || Entry.MayBeLost) && Crashes >= MinCrashes;
   const bool Remove = IsWritten && Crashes == 0;
   if (!Write && !Remove)
     return false;
-  Entry = {RecordState::Changing, Remove, Now + RetryInterval};
+  Entry = {RecordState::Changing, Remove, Now + RetryInterval, false};
   if (Remove) {
     Callbacks.Remove(Fingerprint);
     return false;
--- a/direct/crash_records.h
+++ b/direct/crash_records.h
@@ -38,6 +38,9 @@
   static constexpr Duration DiscoveryTime = std::chrono::seconds(1);
   /// Time from a call to the store that failed to the next.
   static constexpr Duration RetryInterval = std::chrono::seconds(2);
+  /// Records that the store has lost are written again after this time for each
+  /// rank below that of the host.
+  static constexpr Duration RewriteDelayPerRank = std::chrono::milliseconds(20);
 
   explicit CrashRecords(Hooks Callbacks) : Callbacks(std::move(Callbacks)) {}
 
@@ -47,6 +50,8 @@
   void onChanged(std::uint64_t Fingerprint, bool Succeeded);
   /// \p Recorded are the crashes in all records.
   void onRead(const std::vector<CrashNotice> &Recorded);
+  /// The store has come back from an older copy, which may lack the records.
+  void onStoreEraChanged(Instant Now, std::size_t Rank);
   /// \p Rank is this host's rank, see TableSync::rank().
   void tick(Instant Now, std::size_t Rank, const ExpiringNotices &Notices);
 
@@ -57,6 +62,8 @@
     /// The latest change was a removal.
     bool Removing = false;
     Instant RetryAt{};
+    /// The store may have lost the latest change.
+    bool MayBeLost = false;
   };
 
   void readOnce(Instant Now, std::size_t Rank);
--- a/direct/direct_node.cpp
+++ b/direct/direct_node.cpp
@@ -3,6 +3,7 @@
 #include "core/hash.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace mimosacart {
 
@@ -153,24 +154,31 @@
 void DirectNode::onPeerMessage(Instant At, const PeerMessage &Message) {
   Now = At;
   Fleet.onMessage(Now, Message);
+  const StoreVersion Known =
+      std::max(RouteRows.knownVersion(), ServerRows.knownVersion());
+  if (Known != StoreVersion())
+    noteStoreEra(Known.era());
 }
 
 void DirectNode::onRows(Instant At, StoreTable Table,
                         const std::vector<TableRow> &Rows,
-                        std::uint64_t Version) {
+                        StoreVersion Version) {
   Now = At;
-  const std::uint64_t PreviousVersion = cache(Table).latestRowVersion();
-  cache(Table).apply(Rows, Version);
+  const StoreVersion PreviousVersion = cache(Table).latestRowVersion();
+  if (!cache(Table).apply(Rows, Version))
+    return;
+  noteStoreEra(Version.era());
   Fleet.onStoreRead(Now, Table, !Rows.empty(), PreviousVersion);
 }
 
 bool DirectNode::onWholeTable(Instant At, StoreTable Table,
                               const std::vector<TableRow> &Rows,
-                              std::uint64_t Version) {
+                              StoreVersion Version) {
   Now = At;
-  const std::uint64_t PreviousVersion = cache(Table).latestRowVersion();
+  const StoreVersion PreviousVersion = cache(Table).latestRowVersion();
   if (!cache(Table).replace(Rows, Version))
     return false;
+  noteStoreEra(Version.era());
   const bool HasChanges = cache(Table).latestRowVersion() > PreviousVersion;
   Fleet.onStoreRead(Now, Table, HasChanges, PreviousVersion);
   return true;
@@ -187,6 +195,29 @@
   StoreRegainedAt = Now;
 }
 
+void DirectNode::onStoreEra(Instant At, std::uint64_t Era) {
+  Now = At;
+  noteStoreEra(Era);
+}
+
+void DirectNode::noteStoreEra(std::uint64_t Era) {
+  if (StoreEra && Era <= *StoreEra)
+    return;
+  const auto Before = std::exchange(StoreEra, Era);
+  if (!Before)
+    return;
+  Callbacks.Log("store_era_changed",
+                {{"era", std::to_string(Era)},
+                 {"before", std::to_string(*Before)},
+                 {"routes", std::to_string(RouteRows.version().number())},
+                 {"servers", std::to_string(ServerRows.version().number())}});
+  // Servers whose entries the copy lacks register again.
+  StoreRegainedAt = Now;
+  Fleet.onStoreEraChanged(Now);
+  if (Callbacks.StoreEraChanged)
+    Callbacks.StoreEraChanged();
+}
+
 bool DirectNode::wasInterrupted() const {
   return StoreLost || (StoreRegainedAt &&
                        Now - *StoreRegainedAt < Settings.InterruptionGrace);
@@ -220,7 +251,7 @@
   if (const auto *Unusable = std::get_if<UnusableRow>(&Parsed)) {
     Callbacks.Log("configuration_unusable",
                   {{"row", Row.Key},
-                   {"row_version", std::to_string(Row.Version)},
+                   {"row_version", std::to_string(Row.Version.number())},
                    {"why", Unusable->Reason},
                    {"in_force", std::to_string(configurationVersion())}});
     return;
@@ -238,7 +269,7 @@
       "configuration_in_force",
       {{"configuration", std::to_string(NewConfiguration->Version)},
        {"before", std::to_string(configurationVersion())},
-       {"row_version", std::to_string(Row.Version)},
+       {"row_version", std::to_string(Row.Version.number())},
        {"routes", std::to_string(NewConfiguration->Routes.size())},
        {"services", std::to_string(NewConfiguration->Services.size())}});
   const bool IsFirst = !Routes.has_value();
@@ -249,7 +280,14 @@
     Fleet.join(Now);
 }
 
+bool DirectNode::isOfEarlierStart(const DiscoveredServer &Server) const {
+  const DiscoveredServer *Known = Registry.find(Server.Id);
+  return Known != nullptr && Server.Incarnation != 0 &&
+         Server.Incarnation < Known->Incarnation;
+}
+
 void DirectNode::onServerRow(const TableRow &Row) {
+  noteStoreEra(Row.Version.era());
   if (Row.Removed) {
     Registry.remove(Now, ServerName(Row.Key), wasInterrupted());
     return;
@@ -258,12 +296,19 @@
   if (const auto *Unusable = std::get_if<UnusableRow>(&Parsed)) {
     Callbacks.Log("server_entry_unusable",
                   {{"server", Row.Key},
-                   {"row_version", std::to_string(Row.Version)},
+                   {"row_version", std::to_string(Row.Version.number())},
                    {"why", Unusable->Reason}});
     Registry.remove(Now, ServerName(Row.Key), false);
     return;
   }
-  Registry.update(Now, std::get<DiscoveredServer>(Parsed));
+  const auto &Server = std::get<DiscoveredServer>(Parsed);
+  if (wasInterrupted() && isOfEarlierStart(Server)) {
+    Callbacks.Log("server_entry_older",
+                  {{"server", Row.Key},
+                   {"row_version", std::to_string(Row.Version.number())}});
+    return;
+  }
+  Registry.update(Now, Server);
 }
 
 void DirectNode::onServerChanged(const DiscoveredServer &Server,
--- a/direct/direct_node.h
+++ b/direct/direct_node.h
@@ -60,6 +60,8 @@
     std::function<void(StoreTable)> ReadTable;
     /// Called when a configuration has come into force.
     std::function<void(const RouteConfiguration &)> Configured;
+    /// Called when the store has come back from an older copy. May be empty.
+    std::function<void()> StoreEraChanged;
     FlowLogHook Log;
     CrashRecords::Hooks Records;
   };
@@ -78,18 +80,21 @@
   void onProbeResult(Instant Now, CallId Id, const ProbeResult &Result);
   void onPeerMessage(Instant Now, const PeerMessage &Message);
 
-  /// Applies rows that changed in the store, up to \p Version.
+  /// Applies rows that changed in the store, up to \p Version. Changes of
+  /// another era than that of the cached rows are ignored.
   void onRows(Instant Now, StoreTable Table, const std::vector<TableRow> &Rows,
-              std::uint64_t Version);
+              StoreVersion Version);
   /// Replaces all rows of a table. Returns false if they are older than the
   /// cached rows.
   bool onWholeTable(Instant Now, StoreTable Table,
-                    const std::vector<TableRow> &Rows, std::uint64_t Version);
+                    const std::vector<TableRow> &Rows, StoreVersion Version);
   /// The store stopped answering: servers whose entries disappear are kept for
   /// a short time, see InterruptionGrace.
   void onStoreLost(Instant Now);
   /// The store answers again.
   void onStoreRegained(Instant Now);
+  /// An answer of the store named \p Era.
+  void onStoreEra(Instant Now, std::uint64_t Era);
   /// Sets the addresses of peers that the store lists.
   void onPeerAddresses(std::vector<std::string> Addresses);
   /// See CrashRecords::onChanged().
@@ -115,7 +120,7 @@
   std::vector<std::string> callerAddresses() const;
   /// Version up to which the cached table is complete, from the store or from
   /// peers.
-  std::uint64_t tableVersion(StoreTable Table) const {
+  StoreVersion tableVersion(StoreTable Table) const {
     return Table == StoreTable::Routes ? RouteRows.version()
                                        : ServerRows.version();
   }
@@ -124,6 +129,10 @@
   std::size_t rank() const { return Fleet.rank(); }
   /// Longest pause between calls to a store that does not answer.
   Duration longestStoreRetry() const { return Fleet.longestStoreRetry(); }
+  /// See TableSync::wholeReadDelay().
+  Duration wholeReadDelay() const { return Fleet.wholeReadDelay(); }
+  /// Latest era of the store that this host knows of.
+  std::uint64_t storeEra() const { return StoreEra.value_or(0); }
   /// Version of the configuration in force, 0 if there is none.
   std::uint64_t configurationVersion() const {
     return Routes ? Configuration->Version : 0;
@@ -148,6 +157,11 @@
   void onServerChanged(const DiscoveredServer &Server, ServerChange Change);
   void refuse(Instant Now, RequestId Id, const CallerRequest &Request,
               RefusalReason Reason);
+  /// Handles the era of a row, or of the cached rows, that is not 0.
+  void noteStoreEra(std::uint64_t Era);
+  /// Whether the entry of a server names an earlier start of it than the known
+  /// one, as entries of an older copy do.
+  bool isOfEarlierStart(const DiscoveredServer &Server) const;
   /// Whether the store is lost now, or was within the last InterruptionGrace.
   bool wasInterrupted() const;
   TableCache &cache(StoreTable Table) {
@@ -165,6 +179,9 @@
   Instant EndsAt = Instant::max();
   bool StoreLost = false;
   std::optional<Instant> StoreRegainedAt;
+  /// Latest era of the store, from its answers or from peers; no value before
+  /// the first rows.
+  std::optional<std::uint64_t> StoreEra;
   RouteConfigurationPtr Configuration;
   std::optional<HostRoutes> Routes;
   TrafficSplit Split;
--- a/direct/fleet_gossip.cpp
+++ b/direct/fleet_gossip.cpp
@@ -249,11 +249,16 @@
 }
 
 void FleetGossip::onStoreRead(Instant At, StoreTable Table, bool HasChanges,
-                              std::uint64_t PreviousVersion) {
+                              StoreVersion PreviousVersion) {
   Now = At;
   Sync.onStoreRead(Now, Table, HasChanges, PreviousVersion);
 }
 
+void FleetGossip::onStoreEraChanged(Instant At) {
+  Now = At;
+  Records.onStoreEraChanged(Now, Sync.rank());
+}
+
 void FleetGossip::onMessage(Instant At, const PeerMessage &Message) {
   Now = At;
   MessageDelay = Delays[Message.From].observe(Now, Message.SentAt);
--- a/direct/fleet_gossip.h
+++ b/direct/fleet_gossip.h
@@ -99,11 +99,16 @@
 
   /// See TableSync::onStoreRead().
   void onStoreRead(Instant Now, StoreTable Table, bool HasChanges,
-                   std::uint64_t PreviousVersion);
+                   StoreVersion PreviousVersion);
+  /// The store has come back from an older copy: writes again what this host
+  /// wrote to it.
+  void onStoreEraChanged(Instant Now);
   /// See TableSync::rank().
   std::size_t rank() const { return Sync.rank(); }
   /// See TableSync::longestRetry().
   Duration longestStoreRetry() const { return Sync.longestRetry(); }
+  /// See TableSync::wholeReadDelay().
+  Duration wholeReadDelay() const { return Sync.wholeReadDelay(); }
 
 private:
   Membership::Hooks membershipHooks();
--- a/direct/table_cache.cpp
+++ b/direct/table_cache.cpp
@@ -37,7 +37,7 @@
     if (!Part.Rows.empty() && Bytes + RowBytes > MaxBytes) {
       // One transaction may have changed several rows. Its version is complete
       // only with the last of them.
-      Part.UpTo = std::min(Part.Rows.back().Version, Row.Version - 1);
+      Part.UpTo = std::min(Part.Rows.back().Version, Row.Version.previous());
       Result.push_back(Part);
       Part.After = Part.UpTo;
       Part.Rows.clear();
@@ -52,20 +52,25 @@
   return Result;
 }
 
-void TableCache::apply(const std::vector<TableRow> &Changes,
-                       std::uint64_t UpTo) {
+bool TableCache::apply(const std::vector<TableRow> &Changes,
+                       StoreVersion UpTo) {
+  if (!isEmpty() && UpTo.era() != knownVersion().era())
+    return false;
   for (const TableRow &Row : Changes)
     applyRow(Row);
   Version = std::max(Version, UpTo);
   // Most answers of the store hold no changes.
   if (!Changes.empty())
     discardOldRemovals();
+  return true;
 }
 
 bool TableCache::replace(const std::vector<TableRow> &AllRows,
-                         std::uint64_t AsOf) {
-  if (AsOf < Version)
+                         StoreVersion AsOf) {
+  if (AsOf < Version || AsOf.era() < knownVersion().era())
     return false;
+  if (lacksEraOf(AsOf))
+    beginEra({AsOf.era(), 0});
   std::set<std::string> Present;
   for (const TableRow &Row : AllRows)
     Present.insert(Row.Key);
@@ -82,6 +87,14 @@
   return true;
 }
 
+void TableCache::beginEra(StoreVersion First) {
+  std::erase_if(Rows, [](const auto &Entry) { return Entry.second.Removed; });
+  DiscardedUpTo = StoreVersion();
+  // A table without rows must not look older than that of the era before.
+  if (LatestRowVersion != StoreVersion())
+    LatestRowVersion = First;
+}
+
 void TableCache::applyRow(const TableRow &Row) {
   const auto Found = Rows.find(Row.Key);
   if (Found != Rows.end() && Found->second.Version >= Row.Version)
@@ -95,7 +108,7 @@
 }
 
 void TableCache::discardOldRemovals() {
-  std::vector<std::uint64_t> Removals;
+  std::vector<StoreVersion> Removals;
   for (const auto &[Key, Row] : Rows)
     if (Row.Removed)
       Removals.push_back(Row.Version);
@@ -109,14 +122,16 @@
   });
 }
 
-TableRows TableCache::rowsAfter(StoreTable Table, std::uint64_t After) const {
+TableRows TableCache::rowsAfter(StoreTable Table, StoreVersion After) const {
   TableRows Result;
   Result.Table = Table;
   Result.After = After;
   Result.UpTo = LatestRowVersion;
   if (After >= LatestRowVersion)
     return Result;
-  Result.Whole = After < DiscardedUpTo;
+  const bool IsOfEarlierEra =
+      After != StoreVersion() && After.era() < LatestRowVersion.era();
+  Result.Whole = IsOfEarlierEra || After < DiscardedUpTo;
   for (const auto &[Key, Row] : Rows) {
     const bool Included = Result.Whole ? !Row.Removed : Row.Version > After;
     if (Included)
--- a/direct/table_cache.h
+++ b/direct/table_cache.h
@@ -4,6 +4,7 @@
 
 #include "core/peer_messages.h"
 
+#include <algorithm>
 #include <functional>
 #include <map>
 #include <string>
@@ -20,7 +21,8 @@
 std::vector<TableRows> splitUpdate(TableRows Update, std::size_t MaxBytes);
 
 /// Caches the rows of one table by key. A row never goes back to an older
-/// version, whether updates come from the store or from peers.
+/// version, whether updates come from the store or from peers. All rows are of
+/// one era; only the whole table of a later era leads to that era.
 class TableCache {
 public:
   /// Called for each row that changed; the value of a removed row is empty.
@@ -29,31 +31,44 @@
   explicit TableCache(ChangeHook Changed) : Changed(std::move(Changed)) {}
 
   /// Applies the rows that changed between an earlier version and \p Version.
-  void apply(const std::vector<TableRow> &Rows, std::uint64_t Version);
+  /// Returns false and changes nothing if the copy is of another era.
+  bool apply(const std::vector<TableRow> &Rows, StoreVersion Version);
   /// Replaces the copy by all rows of the table as of \p Version. Returns false
   /// and changes nothing if the copy is already complete up to a later version.
-  bool replace(const std::vector<TableRow> &Rows, std::uint64_t Version);
+  bool replace(const std::vector<TableRow> &Rows, StoreVersion Version);
 
   /// Version up to which the copy is complete.
-  std::uint64_t version() const { return Version; }
+  StoreVersion version() const { return Version; }
   /// Latest version of any row. Unlike version(), it does not grow when only
   /// other tables change.
-  std::uint64_t latestRowVersion() const { return LatestRowVersion; }
+  StoreVersion latestRowVersion() const { return LatestRowVersion; }
+  /// Version up to which this host has the rows, from the store or from peers.
+  StoreVersion knownVersion() const {
+    return std::max(Version, LatestRowVersion);
+  }
+  bool isEmpty() const { return knownVersion() == StoreVersion(); }
+  /// Whether a version that another host has is of a later era than this copy,
+  /// which then lacks the whole table.
+  bool lacksEraOf(StoreVersion Other) const {
+    return !isEmpty() && Other.era() > knownVersion().era();
+  }
   /// The rows that changed after version \p After, or all rows if removals
-  /// after that version have been discarded.
-  TableRows rowsAfter(StoreTable Table, std::uint64_t After) const;
+  /// after that version have been discarded or it is of an earlier era.
+  TableRows rowsAfter(StoreTable Table, StoreVersion After) const;
 
 private:
   void applyRow(const TableRow &Row);
   void discardOldRemovals();
+  /// Drops what the copy keeps of removals in earlier eras.
+  void beginEra(StoreVersion First);
 
   const ChangeHook Changed;
   /// Removed rows stay in the map until discardOldRemovals().
   std::map<std::string, TableRow> Rows;
-  std::uint64_t Version = 0;
-  std::uint64_t LatestRowVersion = 0;
+  StoreVersion Version;
+  StoreVersion LatestRowVersion;
   /// Removed rows up to this version have been discarded.
-  std::uint64_t DiscardedUpTo = 0;
+  StoreVersion DiscardedUpTo;
 };
 
 } // namespace mimosacart
--- a/direct/table_sync.cpp
+++ b/direct/table_sync.cpp
@@ -12,11 +12,6 @@
 /// Hosts of rank 0 (primary reader) and 1 (backup reader) read the store.
 constexpr std::size_t ReaderCount = 2;
 
-/// Version up to which this host has the rows, from the store or from peers.
-std::uint64_t knownVersion(const TableCache &Cache) {
-  return std::max(Cache.version(), Cache.latestRowVersion());
-}
-
 /// Orders \p Members by a hash that is equal on every host. The first two,
 /// which are the readers, are in different data centres if there are several.
 std::vector<MemberRecord> orderByRank(std::vector<MemberRecord> Members) {
@@ -94,12 +89,14 @@
 }
 
 bool TableSync::isUpdateOverdue(Instant Now, const TableState &State) const {
-  return State.NewerPeer && State.PendingSince <= Now - updateTimeout() &&
-         knownVersion(*State.Cache) < State.PendingVersion;
+  return State.NewerPeer &&
+         State.PendingSince <=
+             Now - updateTimeout(State, State.PendingVersion) &&
+         State.Cache->knownVersion() < State.PendingVersion;
 }
 
 void TableSync::updatePendingVersion(TableState &State) const {
-  const std::uint64_t Known = knownVersion(*State.Cache);
+  const StoreVersion Known = State.Cache->knownVersion();
   if (State.NewerPeer && Known >= State.NewerVersion)
     State.NewerPeer.reset();
   // While changes follow each other quickly, a newer version is always known
@@ -108,7 +105,8 @@
   if (State.NewerPeer && Known >= State.PendingVersion) {
     State.PendingVersion = State.NewerVersion;
     State.PendingSince = State.NewerVersionAt;
-    State.RequestAt = State.NewerVersionAt + requestAfter();
+    State.RequestAt =
+        State.NewerVersionAt + requestAfter(State, State.NewerVersion);
   }
 }
 
@@ -133,10 +131,10 @@
 /// centres.
 void TableSync::requestRows(Instant Now, StoreTable Table, TableState &State) {
   State.RequestAt = Now + requestAfter() * 2;
-  const std::uint64_t Latest = State.Cache->latestRowVersion();
+  const StoreVersion Latest = State.Cache->latestRowVersion();
   HostName Target = *State.NewerPeer;
   const bool AskLocalPeer =
-      Latest == 0 && !State.LocalPeerAsked && !LocalPeers.empty();
+      Latest == StoreVersion() && !State.LocalPeerAsked && !LocalPeers.empty();
   if (AskLocalPeer) {
     State.LocalPeerAsked = true;
     Target = LocalPeers[stableHash(Self.value()) % LocalPeers.size()];
@@ -151,7 +149,7 @@
     return;
   ReadAtStartDone = true;
   for (const auto &[Table, State] : Tables)
-    if (State.Cache->version() == 0)
+    if (State.Cache->version() == StoreVersion())
       Callbacks.ReadTable(Table);
 }
 
@@ -167,6 +165,35 @@
   return isLargeFleet() ? Times.LargeFleetRequestAfter : Times.RequestAfter;
 }
 
+Duration TableSync::rankSpread() const {
+  return std::min(Times.MaxSpread,
+                  Times.SpreadPerRank * static_cast<Duration::rep>(Rank));
+}
+
+Duration TableSync::requestAfter(const TableState &State,
+                                 StoreVersion Version) const {
+  if (State.Cache->latestRowVersion() == StoreVersion())
+    return Duration::zero();
+  if (State.Cache->lacksEraOf(Version))
+    return Times.EraRequestAfter + rankSpread();
+  return requestAfter();
+}
+
+Duration TableSync::updateTimeout(const TableState &State,
+                                  StoreVersion Version) const {
+  if (State.Cache->lacksEraOf(Version))
+    return Times.EraUpdateTimeout + 2 * rankSpread();
+  return updateTimeout();
+}
+
+Duration TableSync::wholeReadDelay() const {
+  if (Rank == 0)
+    return Duration::zero();
+  if (Rank < ReaderCount)
+    return Times.BackupWholeReadDelay;
+  return Times.WholeReadDelay + rankSpread();
+}
+
 Duration TableSync::confirmationTimeout() const {
   if (Rank < ReaderCount)
     return Times.BackupConfirmationTimeout;
@@ -224,7 +251,7 @@
 }
 
 void TableSync::onStoreRead(Instant Now, StoreTable Table, bool HasChanges,
-                            std::uint64_t PreviousVersion) {
+                            StoreVersion PreviousVersion) {
   TableState &State = Tables.at(Table);
   const bool TookOver = !confirmedSince(State, Now - confirmationTimeout());
   if (TookOver && Rank < Times.ShortRetryHosts)
@@ -247,7 +274,7 @@
 }
 
 TableRows TableSync::makeUpdate(Instant Now, StoreTable Table,
-                                const TableState &State, std::uint64_t After) {
+                                const TableState &State, StoreVersion After) {
   TableRows Update = State.Cache->rowsAfter(Table, After);
   if (State.ConfirmedAt)
     Update.ConfirmedAgo = Now - *State.ConfirmedAt;
@@ -255,7 +282,7 @@
 }
 
 void TableSync::broadcastUpdate(Instant Now, StoreTable Table,
-                                const TableState &State, std::uint64_t After) {
+                                const TableState &State, StoreVersion After) {
   TableRows Update = makeUpdate(Now, Table, State, After);
   const bool HasLargeRow = std::any_of(
       Update.Rows.begin(), Update.Rows.end(), [this](const TableRow &Row) {
@@ -266,6 +293,7 @@
   if (HasLargeRow || CannotSplit) {
     Update.Rows.clear();
     Update.After = Update.UpTo;
+    Update.Whole = false;
   }
   for (const TableRows &Part :
        splitUpdate(std::move(Update), Times.MaxUpdateBytes))
@@ -273,21 +301,24 @@
 }
 
 void TableSync::recordNewerVersion(Instant Now, TableState &State,
-                                   const HostName &From,
-                                   std::uint64_t Version) {
-  if (Version <= knownVersion(*State.Cache))
+                                   const HostName &From, StoreVersion Version) {
+  if (Version <= State.Cache->knownVersion())
     return;
   updatePendingVersion(State);
   if (!State.NewerPeer) {
     State.PendingVersion = Version;
-    State.NewerVersion = 0;
+    State.NewerVersion = StoreVersion();
     State.PendingSince = Now;
     // A host without any rows cannot serve, so it requests them at once.
-    State.RequestAt =
-        State.Cache->latestRowVersion() == 0 ? Now : Now + requestAfter();
+    State.RequestAt = Now + requestAfter(State, Version);
   }
   if (Version < State.NewerVersion)
     return;
+  // Many rows cost much between data centres.
+  const bool HasLocalSource = State.Cache->lacksEraOf(Version) &&
+                              State.NewerPeer && isLocalPeer(*State.NewerPeer);
+  if (Version == State.NewerVersion && HasLocalSource)
+    return;
   if (Version > State.NewerVersion)
     State.NewerVersionAt = Now;
   State.NewerVersion = Version;
@@ -308,6 +339,22 @@
   Callbacks.Send(From, makeUpdate(Now, Message.Table, State, Message.After));
 }
 
+bool TableSync::isLocalPeer(const HostName &Host) const {
+  return std::find(LocalPeers.begin(), LocalPeers.end(), Host) !=
+         LocalPeers.end();
+}
+
+bool TableSync::isApplicable(const TableRows &Message,
+                             const TableCache &Cache) {
+  const StoreVersion Known = Cache.knownVersion();
+  if (Message.Whole)
+    return Message.UpTo.era() >= Known.era();
+  // Rows that start after a version that this host lacks would leave a gap, as
+  // would changes in another era.
+  const bool IsSameEra = Cache.isEmpty() || Message.UpTo.era() == Known.era();
+  return IsSameEra && Message.After <= Known;
+}
+
 void TableSync::onRows(Instant Now, const HostName &From,
                        const TableRows &Message, Duration Delay) {
   TableState &State = Tables.at(Message.Table);
@@ -318,34 +365,34 @@
   if (SentByPrimary && Message.UpTo >= State.Cache->latestRowVersion())
     State.BackupSendAt.reset();
   // The host of this data centre that was asked for the whole table lacks it.
-  const bool PeerLacksTable = Message.UpTo == 0 && !Message.ConfirmedAgo &&
-                              State.NewerPeer && From != *State.NewerPeer;
-  if (PeerLacksTable && State.Cache->latestRowVersion() == 0) {
+  const bool PeerLacksTable = Message.UpTo == StoreVersion() &&
+                              !Message.ConfirmedAgo && State.NewerPeer &&
+                              From != *State.NewerPeer;
+  if (PeerLacksTable && State.Cache->latestRowVersion() == StoreVersion()) {
     requestRows(Now, Message.Table, State);
     return;
   }
-  // Rows that start after a version that this host lacks would leave a gap.
-  const bool IsContiguous =
-      Message.Whole || Message.After <= knownVersion(*State.Cache);
-  if (!IsContiguous) {
+  if (!isApplicable(Message, *State.Cache)) {
     recordNewerVersion(Now, State, From, Message.UpTo);
     updateReadModes(Now);
     return;
   }
-  if (!Message.Rows.empty()) {
+  const bool BeginsEra = Message.Whole && State.Cache->lacksEraOf(Message.UpTo);
+  if (!Message.Rows.empty() || BeginsEra) {
     Callbacks.Log(
         "rows_from_peer",
         {{"peer", From.value()},
          {"table", toString(Message.Table)},
          {"rows", std::to_string(Message.Rows.size())},
-         {"version", std::to_string(Message.UpTo)},
-         {"before", std::to_string(State.Cache->latestRowVersion())}});
+         {"version", std::to_string(Message.UpTo.number())},
+         {"before", std::to_string(State.Cache->latestRowVersion().number())},
+         {"era", std::to_string(Message.UpTo.era())}});
     if (Message.Whole)
       State.Cache->replace(Message.Rows, Message.UpTo);
     else
       State.Cache->apply(Message.Rows, Message.UpTo);
   }
-  const bool UpToDate = knownVersion(*State.Cache) >= Message.UpTo;
+  const bool UpToDate = State.Cache->knownVersion() >= Message.UpTo;
   if (!UpToDate) {
     recordNewerVersion(Now, State, From, Message.UpTo);
     return;
--- a/direct/table_sync.h
+++ b/direct/table_sync.h
@@ -58,6 +58,20 @@
   Duration LongRetryPause = std::chrono::seconds(2);
   Duration LongRetryPausePerHost = std::chrono::milliseconds(35);
   std::size_t ShortRetryHosts = 8;
+  /// A host whose rows are of an earlier era requests the whole table from a
+  /// peer that has it after this time, and reads the store itself after the
+  /// second one. Both grow with the rank of the host, so that the fleet does
+  /// not ask all at once.
+  Duration EraRequestAfter = std::chrono::milliseconds(200);
+  Duration EraUpdateTimeout = std::chrono::milliseconds(1000);
+  /// A host whose call found that the store's changes do not continue its rows
+  /// reads the whole table after this time, unless it has come from a peer. The
+  /// primary reader reads it at once.
+  Duration BackupWholeReadDelay = std::chrono::milliseconds(300);
+  Duration WholeReadDelay = std::chrono::milliseconds(600);
+  /// What each of these grows by with the rank of the host, and at most.
+  Duration SpreadPerRank = std::chrono::milliseconds(10);
+  Duration MaxSpread = std::chrono::milliseconds(1500);
   /// Time after the start in which a host discovers its peers.
   Duration DiscoveryTime = std::chrono::milliseconds(1200);
   /// Time after the start in which a host waits for the tables of a peer before
@@ -112,7 +126,7 @@
   /// of \p Table. \p HasChanges tells whether the answer held changed rows;
   /// \p PreviousVersion is the latest row version before the answer.
   void onStoreRead(Instant Now, StoreTable Table, bool HasChanges,
-                   std::uint64_t PreviousVersion);
+                   StoreVersion PreviousVersion);
   /// Handles the table versions that the peer \p From has.
   void onPeerVersions(Instant Now, const HostName &From,
                       const TableVersions &Versions);
@@ -134,6 +148,9 @@
   /// store is back. The others call too, since the store may be reachable only
   /// from one of them.
   Duration longestRetry() const;
+  /// How long this host waits for the whole table from a peer before it reads
+  /// it from the store.
+  Duration wholeReadDelay() const;
   TableVersions versions() const;
 
 private:
@@ -148,7 +165,7 @@
     /// Peer with the latest version that this host lacks.
     std::optional<HostName> NewerPeer;
     /// The version that NewerPeer has, and when this host learned of it.
-    std::uint64_t NewerVersion = 0;
+    StoreVersion NewerVersion;
     Instant NewerVersionAt{};
     /// When to request the rows from NewerPeer.
     Instant RequestAt{};
@@ -156,12 +173,12 @@
     bool LocalPeerAsked = false;
     /// The version that this host waits for, and since when. NewerVersion
     /// replaces it only after it has arrived.
-    std::uint64_t PendingVersion = 0;
+    StoreVersion PendingVersion;
     Instant PendingSince{};
     /// When the backup reader broadcasts the rows that changed after version
     /// BackupSendAfter, unless the primary reader does so earlier.
     std::optional<Instant> BackupSendAt;
-    std::uint64_t BackupSendAfter = 0;
+    StoreVersion BackupSendAfter;
   };
 
   /// Reads the tables from the store that this host lacks shortly after its
@@ -170,21 +187,31 @@
   /// Requests the rows that this host lacks from a peer; NewerPeer must be set.
   void requestRows(Instant Now, StoreTable Table, TableState &State);
   void recordNewerVersion(Instant Now, TableState &State, const HostName &From,
-                          std::uint64_t Version);
+                          StoreVersion Version);
   /// The rows that changed after version \p After, with the age of the last
   /// confirmation.
   static TableRows makeUpdate(Instant Now, StoreTable Table,
-                              const TableState &State, std::uint64_t After);
+                              const TableState &State, StoreVersion After);
   /// Sends the update to all other hosts in parts, without rows if one of them
   /// is too large.
   void broadcastUpdate(Instant Now, StoreTable Table, const TableState &State,
-                       std::uint64_t After);
+                       StoreVersion After);
   void updateReadModes(Instant Now);
   void updateReadMode(Instant Now, StoreTable Table, TableState &State);
   /// Time without a confirmation after which this host reads the store itself.
   Duration confirmationTimeout() const;
   Duration updateTimeout() const;
   Duration requestAfter() const;
+  /// Time from the moment that this host learns of \p Version until it requests
+  /// its rows, and until it reads the store.
+  Duration requestAfter(const TableState &State, StoreVersion Version) const;
+  Duration updateTimeout(const TableState &State, StoreVersion Version) const;
+  /// Grows with the rank of this host.
+  Duration rankSpread() const;
+  /// Whether \p Message continues the rows of \p Cache, or replaces them by
+  /// those of the same era or a later one.
+  static bool isApplicable(const TableRows &Message, const TableCache &Cache);
+  bool isLocalPeer(const HostName &Host) const;
   /// Whether hosts forward updates to each other.
   bool isLargeFleet() const;
   void setMode(StoreTable Table, TableState &State, ReadMode NewMode,
--- a/tests/daemon/table_follower_test.cpp
+++ b/tests/daemon/table_follower_test.cpp
@@ -19,7 +19,7 @@
     Client = std::make_unique<StoreClient>(Http, Address, 300ms);
     TableFollower::Hooks Callbacks;
     Callbacks.TableRead = [this](const std::vector<TableRow> &AllRows,
-                                 std::uint64_t Version) {
+                                 StoreVersion Version) {
       if (Version < KnownVersion)
         return false;
       Rows.clear();
@@ -28,20 +28,21 @@
       return true;
     };
     Callbacks.RowsChanged = [this](const std::vector<TableRow> &Changes,
-                                   std::uint64_t Version) {
+                                   StoreVersion Version) {
       apply(Changes, Version);
     };
     Callbacks.StoreLost = [this] { ++Losses; };
     Callbacks.StoreRegained = [this] { ++Recoveries; };
     Callbacks.KnownVersion = [this] { return KnownVersion; };
     Callbacks.LongestRetry = [this] { return LongestRetry; };
+    Callbacks.WholeReadDelay = [this] { return WholeReadDelay; };
     Follower =
         std::make_unique<TableFollower>(Context, *Client, "t", Log, Callbacks);
   }
 
   ~TableFollowerTest() override { Follower->stop(); }
 
-  void apply(const std::vector<TableRow> &Changes, std::uint64_t Version) {
+  void apply(const std::vector<TableRow> &Changes, StoreVersion Version) {
     for (const TableRow &Row : Changes) {
       if (Row.Removed)
         Rows.erase(Row.Key);
@@ -67,8 +68,9 @@
   std::unique_ptr<StoreClient> Client;
   std::unique_ptr<TableFollower> Follower;
   Table Rows;
-  std::uint64_t KnownVersion = 0;
+  StoreVersion KnownVersion;
   Duration LongestRetry = 800ms;
+  Duration WholeReadDelay = 0ms;
   unsigned TableReads = 0;
   unsigned Losses = 0;
   unsigned Recoveries = 0;
@@ -232,5 +234,76 @@
   EXPECT_EQ(Recoveries, 1U);
 }
 
+/// A follower of a store that names its era, at version 900.
+class TableFollowerEraTest : public TableFollowerTest {
+protected:
+  TableFollowerEraTest() {
+    Store.nameEra(1);
+    Follower->readTable();
+    run(100ms);
+    while (Store.put("t", "b", "before") < 900)
+      continue;
+    Follower->setReadMode(ReadMode::Active);
+    run(300ms);
+  }
+  /// Brings the store back at version 850, and writes up to version 900.
+  void restoreAndWrite() {
+    Store.goAway();
+    Store.returnFromVersion(850);
+    Store.put("t", "c", "after");
+    while (Store.put("t", "b", "after") < 900)
+      continue;
+  }
+};
+
+TEST_F(TableFollowerEraTest, setReadMode_versionsGivenOutAgain_readsNewRows) {
+  ASSERT_EQ(KnownVersion, StoreVersion(1, 900));
+  restoreAndWrite();
+  run(1s);
+  EXPECT_EQ(Rows, (Table{{"a", "1"}, {"b", "after"}, {"c", "after"}}));
+  EXPECT_EQ(KnownVersion, StoreVersion(2, 900));
+}
+
+// Guards against a continuation of changes across eras when the store has more
+// versions than before.
+TEST_F(TableFollowerEraTest, setReadMode_storeIsAheadAgain_readsWholeTable) {
+  restoreAndWrite();
+  Store.put("t", "d", "after");
+  run(1s);
+  EXPECT_EQ(Rows.count("c"), 1U);
+  EXPECT_EQ(TableReads, 2U);
+}
+
+TEST_F(TableFollowerEraTest, setReadMode_peersSendNewEra_readsOnlyChanges) {
+  WholeReadDelay = 400ms;
+  restoreAndWrite();
+  run(250ms);
+  KnownVersion = {2, 900};
+  Store.put("t", "d", "after");
+  run(800ms);
+  EXPECT_EQ(TableReads, 1U);
+  EXPECT_EQ(Rows.count("d"), 1U);
+}
+
+TEST_F(TableFollowerEraTest, setReadMode_untilWholeTableIsRead_keepsOldRows) {
+  WholeReadDelay = 5s;
+  restoreAndWrite();
+  run(1500ms);
+  EXPECT_EQ(Rows, (Table{{"a", "1"}, {"b", "before"}}));
+  EXPECT_EQ(KnownVersion, StoreVersion(1, 900));
+}
+
+TEST_F(TableFollowerEraTest, setReadMode_answerOfEarlierEra_changesNothing) {
+  restoreAndWrite();
+  run(1s);
+  Store.replaceEraText("1");
+  Store.put("t", "a", "late");
+  run(1s);
+  EXPECT_EQ(Rows.at("a"), "1");
+  Store.replaceEraText("2");
+  run(2s);
+  EXPECT_EQ(Rows.at("a"), "late");
+}
+
 } // namespace
 } // namespace mimosacart
--- a/tests/direct/fleet_gossip_crash_test.cpp
+++ b/tests/direct/fleet_gossip_crash_test.cpp
@@ -99,6 +99,16 @@
   EXPECT_EQ(StoredCrashes.at(Other).size(), 3U);
 }
 
+TEST_F(FleetGossipCrashTest, onStoreEraChanged_recordLost_isWrittenAgain) {
+  ASSERT_TRUE(StoredCrashes.contains(Fingerprint));
+  StoredCrashes.clear();
+  for (unsigned Number = 0; Number < 6; ++Number)
+    gossip(Number).onStoreEraChanged(Now);
+  advanceTime(3s);
+  ASSERT_TRUE(StoredCrashes.contains(Fingerprint));
+  EXPECT_EQ(StoredCrashes.at(Fingerprint).size(), 3U);
+}
+
 TEST_F(FleetGossipCrashTest, tick_twoCrashes_nothingIsRecorded) {
   constexpr std::uint64_t Other = 9;
   for (const char *Server : {"a", "b"})
--- a/tests/direct/gossip_fleet.h
+++ b/tests/direct/gossip_fleet.h
@@ -137,7 +137,7 @@
     ++TablesRead;
     TableCache &Cache =
         Table == StoreTable::Routes ? Reader.Routes : Reader.Servers;
-    const std::uint64_t Previous = Cache.latestRowVersion();
+    const StoreVersion Previous = Cache.latestRowVersion();
     Cache.replace(StoredRows, StoredVersion);
     Reader.Gossip->onStoreRead(Now, Table, true, Previous);
   }
@@ -198,7 +198,7 @@
   unsigned RecordReads = 0;
   /// Rows of both tables of the store.
   std::vector<TableRow> StoredRows;
-  std::uint64_t StoredVersion = 0;
+  StoreVersion StoredVersion;
   /// Whole tables that hosts read from the store.
   unsigned TablesRead = 0;
   /// Bytes of rows sent from one data centre to another.
--- a/tests/direct/table_cache_test.cpp
+++ b/tests/direct/table_cache_test.cpp
@@ -151,5 +151,60 @@
   EXPECT_EQ(Parts[1].Rows.size(), 1U);
 }
 
+/// A cache at version 900 of era 1 with rows a and b.
+class TableCacheEraTest : public TableCacheTest {
+protected:
+  TableCacheEraTest() {
+    Cache.replace({{"a", {1, 860}, false, "x"}, {"b", {1, 890}, false, "y"}},
+                  {1, 900});
+    Changes.clear();
+  }
+};
+
+TEST_F(TableCacheEraTest, replace_laterEraWithLowerNumbers_isTaken) {
+  EXPECT_TRUE(Cache.replace(
+      {{"a", {2, 855}, false, "new"}, {"b", {2, 840}, false, "y"}}, {2, 860}));
+  EXPECT_EQ(Changes, Strings{"a=new"});
+  EXPECT_EQ(Cache.version(), StoreVersion(2, 860));
+}
+
+TEST_F(TableCacheEraTest, replace_earlierEra_isRejected) {
+  Cache.replace({{"a", {2, 855}, false, "new"}}, {2, 860});
+  Changes.clear();
+  EXPECT_FALSE(Cache.replace({{"a", {1, 950}, false, "late"}}, {1, 950}));
+  EXPECT_EQ(Changes, Strings{});
+}
+
+TEST_F(TableCacheEraTest, apply_anotherEra_isRejected) {
+  EXPECT_FALSE(Cache.apply({{"a", {2, 901}, false, "new"}}, {2, 901}));
+  EXPECT_FALSE(Cache.apply({{"a", 901, false, "old"}}, 901));
+  EXPECT_EQ(Changes, Strings{});
+  EXPECT_EQ(Cache.version(), StoreVersion(1, 900));
+}
+
+TEST_F(TableCacheEraTest, replace_laterEraLacksRow_isRemoved) {
+  Cache.replace({{"a", {2, 850}, false, "x"}}, {2, 850});
+  EXPECT_EQ(Changes, Strings{"b=gone"});
+}
+
+TEST_F(TableCacheEraTest, rowsAfter_versionOfEarlierEra_returnsAllRows) {
+  Cache.replace({{"a", {2, 800}, false, "x"}, {"b", {2, 820}, false, "y"}},
+                {2, 850});
+  const TableRows All = Cache.rowsAfter(StoreTable::Servers, {1, 900});
+  EXPECT_TRUE(All.Whole);
+  EXPECT_EQ(All.Rows.size(), 2U);
+  EXPECT_EQ(All.UpTo, StoreVersion(2, 820));
+}
+
+TEST_F(TableCacheEraTest, rowsAfter_noVersion_canBeSplit) {
+  EXPECT_FALSE(Cache.rowsAfter(StoreTable::Servers, {}).Whole);
+}
+
+TEST_F(TableCacheEraTest, replace_laterEraIsEmpty_looksLaterThanBefore) {
+  Cache.replace({}, {2, 10});
+  EXPECT_EQ(Changes, (Strings{"a=gone", "b=gone"}));
+  EXPECT_GT(Cache.latestRowVersion(), StoreVersion(1, 900));
+}
+
 } // namespace
 } // namespace mimosacart
--- a/tests/direct/table_sync_test.cpp
+++ b/tests/direct/table_sync_test.cpp
@@ -105,7 +105,7 @@
   }
 
   void readStore(Host &Reader) {
-    const std::uint64_t PreviousVersion = Reader.Routes.latestRowVersion();
+    const StoreVersion PreviousVersion = Reader.Routes.latestRowVersion();
     const bool HasChanges = Stored.Version > PreviousVersion;
     if (HasChanges)
       Reader.Routes.apply({Stored}, Stored.Version);
@@ -116,7 +116,7 @@
 
   /// Delivers a change from the store to \p Reader only.
   void deliverStoreChange(Host &Reader, std::uint64_t Version) {
-    const std::uint64_t PreviousVersion = Reader.Routes.latestRowVersion();
+    const StoreVersion PreviousVersion = Reader.Routes.latestRowVersion();
     Reader.Routes.apply({{"config", Version, false, "next"}}, Version);
     Reader.Sync->onStoreRead(Now, StoreTable::Routes, true, PreviousVersion);
   }
@@ -235,7 +235,7 @@
   advanceTime(6s);
   Host &Follower = hostOfRank(3);
   for (unsigned Index = 0; Index < 20; ++Index) {
-    const std::uint64_t Known = Follower.Routes.latestRowVersion();
+    const std::uint64_t Known = Follower.Routes.latestRowVersion().number();
     Follower.Sync->onPeerVersions(Now, HostName("host-0"), {Known + 2, 0});
     advanceTime(100ms);
     TableRows Updates;
@@ -348,5 +348,92 @@
   EXPECT_EQ(Follower.Modes[StoreTable::Routes], ReadMode::None);
 }
 
+/// Hosts whose rows are of version 900 of era 1.
+class TableSyncEraTest : public TableSyncTest {
+protected:
+  TableSyncEraTest() {
+    Stored = {"config", {1, 900}, false, "before"};
+    advanceTime(4s);
+  }
+  static TableRows makeUpdate(StoreVersion After, StoreVersion UpTo,
+                              bool Whole) {
+    TableRows Result;
+    Result.After = After;
+    Result.UpTo = UpTo;
+    Result.Whole = Whole;
+    Result.ConfirmedAgo = 0ms;
+    Result.Rows = {{"config", UpTo, false, "next"}};
+    return Result;
+  }
+};
+
+TEST_F(TableSyncEraTest, onStoreRead_wholeTableOfLaterEra_reachesEveryHost) {
+  Host &Reader = hostOfRank(0);
+  const StoreVersion Previous = Reader.Routes.latestRowVersion();
+  Stored = {"config", {2, 850}, false, "after"};
+  Reader.Routes.replace({Stored}, {2, 850});
+  Reader.Sync->onStoreRead(Now, StoreTable::Routes, true, Previous);
+  for (const auto &[Name, TestHost] : Hosts)
+    EXPECT_EQ(TestHost.Rows.at("config"), "after") << Name.value();
+}
+
+TEST_F(TableSyncEraTest, onRows_changesOfLaterEra_requestsWholeTable) {
+  Host &Follower = hostOfRank(4);
+  Host &UpToDate = hostOfRank(2);
+  UpToDate.Routes.replace({{"config", {2, 860}, false, "after"}}, {2, 860});
+  const TableRows Changes = makeUpdate({2, 855}, {2, 860}, false);
+  for (const auto &[Name, TestHost] : Hosts)
+    if (&TestHost == &UpToDate)
+      Follower.Sync->onRows(Now, Name, Changes, 0ms);
+  EXPECT_EQ(Follower.Rows.at("config"), "before");
+  advanceTime(400ms);
+  EXPECT_EQ(Follower.Rows.at("config"), "after");
+  EXPECT_EQ(Follower.Routes.latestRowVersion(), StoreVersion(2, 860));
+}
+
+// A host that hears of the era from a peer first.
+TEST_F(TableSyncEraTest, onPeerVersions_laterEra_getsTableWithoutTheStore) {
+  StoreAnswers = false;
+  Host &Follower = hostOfRank(4);
+  Host &UpToDate = hostOfRank(2);
+  UpToDate.Routes.replace({{"config", {2, 860}, false, "after"}}, {2, 860});
+  for (const auto &[Name, TestHost] : Hosts)
+    if (&TestHost == &UpToDate)
+      Follower.Sync->onPeerVersions(Now, Name, {{2, 860}, {}});
+  EXPECT_EQ(Follower.Rows.at("config"), "before");
+  advanceTime(400ms);
+  EXPECT_EQ(Follower.Rows.at("config"), "after");
+}
+
+TEST_F(TableSyncEraTest, onRows_earlierEra_changesAndConfirmsNothing) {
+  Host &Follower = hostOfRank(4);
+  const HostName Primary("host-0");
+  Follower.Sync->onRows(Now, Primary, makeUpdate({1, 900}, {2, 850}, true),
+                        0ms);
+  ASSERT_EQ(Follower.Rows.at("config"), "next");
+  Follower.Rows["config"] = "current";
+  StoreAnswers = false;
+  for (auto &[Name, TestHost] : Hosts)
+    TestHost.Disconnected = true;
+  for (unsigned Round = 0; Round < 8; ++Round) {
+    advanceTime(400ms);
+    Follower.Sync->onRows(Now, Primary, makeUpdate({1, 900}, {1, 950}, false),
+                          0ms);
+    Follower.Sync->onRows(Now, Primary, makeUpdate({1, 900}, {1, 950}, true),
+                          0ms);
+  }
+  EXPECT_EQ(Follower.Rows.at("config"), "current");
+  EXPECT_EQ(Follower.mode(), ReadMode::Active);
+}
+
+// A program from before the eras sends such announcements.
+TEST_F(TableSyncEraTest, onRows_wholeWithoutRowsOfEraZero_removesNothing) {
+  Host &Follower = hostOfRank(4);
+  TableRows Announcement = makeUpdate(950, 950, true);
+  Announcement.Rows.clear();
+  Follower.Sync->onRows(Now, HostName("host-0"), Announcement, 0ms);
+  EXPECT_EQ(Follower.Rows.at("config"), "before");
+}
+
 } // namespace
 } // namespace mimosacart
--- a/tests/platform/store_client_test.cpp
+++ b/tests/platform/store_client_test.cpp
@@ -107,5 +107,35 @@
             std::string::npos);
 }
 
+TEST_F(StoreClientTest, awaitChanges_laterEra_isEraChanged) {
+  const auto Received = awaitChanges(
+      {200, {{"Store-Era", "1"}}, R"({"rows":[],"ver":9,"now":"1ms"})"});
+  ASSERT_TRUE(Received.has_error());
+  EXPECT_EQ(Received.error(), StoreError::EraChanged);
+}
+
+TEST_F(StoreClientTest, awaitChanges_earlierEraThanAnotherAnswer_isOldEra) {
+  (void)awaitChanges({503, {{"Store-Era", "3"}}, ""});
+  const auto Received = awaitChanges(
+      {200, {{"Store-Era", "2"}}, R"({"rows":[],"ver":9,"now":"1ms"})"});
+  ASSERT_TRUE(Received.has_error());
+  EXPECT_EQ(Received.error(), StoreError::OldEra);
+}
+
+TEST_F(StoreClientTest, readRows_rowsAndVersion_areOfTheEra) {
+  NextResponse = {200,
+                  {{"Store-Era", "4"}},
+                  R"({"rows":[{"key":"a","value":"aGk=","ver":6}],"ver":9})"};
+  StoreResult<StoreRows> Received = StoreError::Unavailable;
+  Store.readRows("t", "", [&](StoreResult<StoreRows> Result) {
+    Received = std::move(Result);
+    Context.stop();
+  });
+  Context.run_for(5s);
+  ASSERT_TRUE(Received.has_value());
+  EXPECT_EQ(Received.value().Version, StoreVersion(4, 9));
+  EXPECT_EQ(Received.value().Rows.front().Version, StoreVersion(4, 6));
+}
+
 } // namespace
 } // namespace mimosacart
--- a/tests/wire/peer_codec_test.cpp
+++ b/tests/wire/peer_codec_test.cpp
@@ -78,13 +78,13 @@
       CrashReport{Crash},
       CrashReportAck{12},
       AttemptAnswerAck{IncarnationId(1), AttemptId(2)},
-      TableRequest{StoreTable::Servers, 7},
+      TableRequest{StoreTable::Servers, {2, 7}},
       TableRows{StoreTable::Servers,
-                5,
-                9,
+                {1, 5},
+                {2, 9},
                 true,
                 3ms,
-                {{"k", 8, true, "v"}},
+                {{"k", {2, 8}, true, "v"}},
                 false,
                 {"10.0.0.1:7000", "10.0.0.2:7000"}},
       ViewSummary{{1, 2, 3}},
@@ -141,6 +141,25 @@
   EXPECT_EQ(Read.error(), WireError::BadField);
 }
 
+TEST(PeerCodecTest, decode_tableRows_keepsEras) {
+  TableRows Rows;
+  Rows.After = {1, 900};
+  Rows.UpTo = {2, 850};
+  Rows.Rows = {{"k", {2, 849}, false, "v"}};
+  const auto Read = decode(encode(wrap(Rows))).value();
+  const auto &Body = std::get<TableRows>(Read.Body);
+  EXPECT_EQ(Body.After, Rows.After);
+  EXPECT_EQ(Body.UpTo, Rows.UpTo);
+  EXPECT_EQ(Body.Rows, Rows.Rows);
+}
+
+TEST(PeerCodecTest, decode_ping_keepsErasOfTables) {
+  Ping Message;
+  Message.Tables = {{2, 850}, {1, 900}};
+  const auto Read = decode(encode(wrap(Message))).value();
+  EXPECT_EQ(std::get<Ping>(Read.Body).Tables, Message.Tables);
+}
+
 TEST(PeerCodecTest, decode_otherProtocol_isRejected) {
   EXPECT_TRUE(decode("").has_error());
   EXPECT_TRUE(decode("GET / HTTP/1.1\r\n\r\n").has_error());
--- a/wire/view_codec.cpp
+++ b/wire/view_codec.cpp
@@ -65,8 +65,10 @@
   To.set_state_digest(From.StateDigest);
   if (From.ConfigId)
     write(*From.ConfigId, *To.mutable_mark());
-  To.set_routes_version(From.Tables.Routes);
-  To.set_servers_version(From.Tables.Servers);
+  To.set_routes_version(From.Tables.Routes.number());
+  To.set_routes_era(From.Tables.Routes.era());
+  To.set_servers_version(From.Tables.Servers.number());
+  To.set_servers_era(From.Tables.Servers.era());
 }
 
 template <typename PingOrAck> PingOrAck readPingFields(const wire::Ping &From) {
@@ -76,7 +78,8 @@
   To.StateDigest = From.state_digest();
   if (From.has_mark())
     To.ConfigId = readConfigurationId(From.mark());
-  To.Tables = {From.routes_version(), From.servers_version()};
+  To.Tables = {{From.routes_era(), From.routes_version()},
+               {From.servers_era(), From.servers_version()}};
   return To;
 }
 
