Play the store's drill in the soak

The operator writes again at once, the servers within 1.8 s; leaving and removed servers at once, since those of a run go on serving after their entry is gone. The store names its era in all answers from the start.

--- a/soak/soak.cpp
+++ b/soak/soak.cpp
@@ -30,6 +30,7 @@
     : Options(std::move(RunOptions)), Random(Options.Seed) {
   std::filesystem::create_directories(Options.Folder);
   StoreAddress = allocateAddress();
+  Store.nameEra(1);
   if (!Store.listen(StoreAddress))
     throw std::runtime_error("cannot listen on the store address " +
                              StoreAddress);
@@ -132,7 +133,7 @@
                        {{"state", State},
                         {"sequence", Server.Incarnation},
                         {"warmupLeft", "0ms"}}}};
-  Store.put("servers", Server.Id, Entry.dump());
+  writeServerRow(Server.Id, Entry.dump());
 }
 
 void Soak::publishConfiguration(const std::string &NewOnceService) {
@@ -165,7 +166,8 @@
        {{"headerTimeout", "3000ms"},
         {"idleTimeout", "15000ms"},
         {"maxBodyBytes", MaxBodyBytes}}}};
-  Store.put("op", "config", Configuration.dump());
+  ConfigurationRow = Configuration.dump();
+  Store.put("op", "config", ConfigurationRow);
 }
 
 void Soak::addHost(std::size_t Index) {
@@ -208,6 +210,7 @@
   watchProcesses();
   scheduleFaults();
   scheduleWishes();
+  scheduleDrills();
   scheduleEndlessPeers();
   // The last change of the configuration. Every host must apply it when
   // RecoveredBeforeEnd is left of the run.
--- a/soak/soak.h
+++ b/soak/soak.h
@@ -11,7 +11,9 @@
 #include "soak/soak_server.h"
 #include "tests/standins/store_standin.h"
 
+#include <map>
 #include <memory>
+#include <optional>
 #include <random>
 #include <string>
 #include <vector>
@@ -100,6 +102,17 @@
   void injectFault();
   /// Schedules servers that name a limit, want a pause or leave.
   void scheduleWishes();
+  /// Schedules drills of the store.
+  void scheduleDrills();
+  /// The store is away for \p Away and comes back from a copy of \p Age.
+  void performDrill(std::chrono::milliseconds Away,
+                    std::chrono::milliseconds Age, std::uint64_t RegisterSeed);
+  /// Writes what the operator and the servers wrote before, the servers after
+  /// delays that \p RegisterSeed decides.
+  void writeRowsAgain(std::uint64_t RegisterSeed);
+  void writeServerRowAgain(const std::string &Id);
+  void writeServerRow(const std::string &Id, const std::string &Value);
+  void removeServerRow(const std::string &Id);
   void announceWish(ServerInstance &Server, long Kind, double Limit,
                     std::chrono::milliseconds Length);
 
@@ -141,6 +154,10 @@
   std::vector<EntryHost> Hosts;
   /// Service that the current configuration routes non-idempotent requests to.
   std::string OnceService = "ledger";
+  /// What each server last wrote to its row; no value if that was removed.
+  std::map<std::string, std::optional<std::string>> ServerRows;
+  /// What the operator last wrote.
+  std::string ConfigurationRow;
   unsigned LastAddressNumber = 0;
   unsigned LastServerNumber = 0;
   unsigned LastRequestNumber = 0;
--- a/soak/soak_faults.cpp
+++ b/soak/soak_faults.cpp
@@ -139,7 +139,7 @@
   addServer(Server.Service);
   registerServer(Server, "draining");
   Checker.forbidServer(Server.Id, std::chrono::steady_clock::now() + DrainTime);
-  runAfter(3500ms, [this, &Server] { Store.remove("servers", Server.Id); });
+  runAfter(3500ms, [this, &Server] { removeServerRow(Server.Id); });
 }
 
 void Soak::slowDownServer() {
