Let the servers of the soak copy refusals and return under new ids

The soak could not show that a copy of a refusal was taken for the answer to the same request: refusals bore no id, nothing sent a copy, and an address never had two ids.

Now refusals bear the id; the proxy before each server sends them once more after 0 to 30 ms; ten times a run the servers for once-only work start again under new ids while the store still lists the old ones. Servers that drain do not return, so that the check of leaving servers is as strict as before; busy ones wait, since a server that ends under a request counts as crashed by it.

--- a/soak/fault_proxy.cpp
+++ b/soak/fault_proxy.cpp
@@ -41,8 +41,9 @@
     : public std::enable_shared_from_this<ProxiedConnection> {
 public:
   ProxiedConnection(FaultProxy &Owner, tcp::socket ClientSocket)
-      : Fault(Owner.Fault), Context(Owner.Context),
-        ClientSocket(std::move(ClientSocket)), TargetSocket(Owner.Context) {}
+      : Fault(Owner.Fault), DrawCopyDelay(Owner.DrawCopyDelay),
+        Context(Owner.Context), ClientSocket(std::move(ClientSocket)),
+        TargetSocket(Owner.Context) {}
 
   void start(const tcp::endpoint &Target) {
     TargetSocket.async_connect(Target, [Self = shared_from_this()](
@@ -120,10 +121,16 @@
 
   void forward(tcp::socket &From, tcp::socket &To, Bytes &Buffer,
                bool FromTarget, std::size_t Count) {
+    if (FromTarget) {
+      IsForwarding = true;
+      scheduleCopy({Buffer.data(), Count});
+    }
     asio::async_write(
         To, asio::buffer(Buffer.data(), Count),
         [Self = shared_from_this(), &From, &To, &Buffer,
          FromTarget](boost::system::error_code Error, std::size_t) {
+          if (FromTarget)
+            Self->IsForwarding = false;
           if (Error)
             Self->resetBoth();
           else
@@ -131,7 +138,29 @@
         });
   }
 
+  void scheduleCopy(std::string_view Block) {
+    const auto Delay = DrawCopyDelay ? DrawCopyDelay(Block) : std::nullopt;
+    if (!Delay)
+      return;
+    const auto Timer = std::make_shared<asio::steady_timer>(Context, *Delay);
+    Timer->async_wait([Self = shared_from_this(), Timer,
+                       Copy = std::string(Block)](boost::system::error_code) {
+      Self->writeCopy(Copy);
+    });
+  }
+
+  /// Writes \p Copy at once, unless another block is being written.
+  void writeCopy(const std::string &Copy) {
+    if (IsForwarding || dropsBytes(true))
+      return;
+    boost::system::error_code IgnoredError;
+    ClientSocket.write_some(asio::buffer(Copy), IgnoredError);
+  }
+
   LinkFault Fault;
+  const CopyHook DrawCopyDelay;
+  /// A block from the target is being written.
+  bool IsForwarding = false;
   bool MayHaveLostBytes = false;
   asio::io_context &Context;
   tcp::socket ClientSocket;
--- a/soak/fault_proxy.h
+++ b/soak/fault_proxy.h
@@ -4,8 +4,12 @@
 
 #include "net/asio.h"
 
+#include <chrono>
+#include <functional>
 #include <memory>
+#include <optional>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace mimosacart {
@@ -30,6 +34,9 @@
 /// Accepts connections on one address and forwards them to a target address.
 class FaultProxy {
 public:
+  using CopyHook = std::function<std::optional<std::chrono::milliseconds>(
+      std::string_view Block)>;
+
   /// \p Target is the address, with port, that connections are forwarded to.
   FaultProxy(asio::io_context &Context, std::string Target);
 
@@ -39,6 +46,9 @@
   /// set to OneWay or Silence may have lost bytes, so it keeps its fault when
   /// \p NewFault is None.
   void setFault(LinkFault NewFault);
+  /// \p Hook returns the time after which a block of bytes from the target is
+  /// forwarded once more; nothing if it is not.
+  void copyBlocks(CopyHook Hook) { DrawCopyDelay = std::move(Hook); }
 
 private:
   class ProxiedConnection;
@@ -49,6 +59,7 @@
   const std::string Target;
   tcp::acceptor Acceptor;
   LinkFault Fault = LinkFault::None;
+  CopyHook DrawCopyDelay;
   std::vector<std::weak_ptr<ProxiedConnection>> Connections;
 };
 
--- a/soak/main.cpp
+++ b/soak/main.cpp
@@ -44,12 +44,12 @@
       fmt::print("broken {}\n", Violation);
     const PromiseChecker &Checker = Run.checker();
     fmt::print("seed {}: {} requests, {} served, {} at limited servers, {} "
-               "pauses, {} answers of leaving servers, peak of {} MB, {} "
-               "promises broken\n",
+               "pauses, {} answers of leaving servers, {} refusals sent twice, "
+               "peak of {} MB, {} promises broken\n",
                Seed, Checker.requestCount(), Checker.servedCount(),
                Checker.wishes().limitedArrivals(), Checker.wishes().pauses(),
-               Checker.wishes().leavingAnswers(), Run.peakMemoryMb(),
-               Violations.size());
+               Checker.wishes().leavingAnswers(), Run.refusalCopies(),
+               Run.peakMemoryMb(), Violations.size());
     AllPromisesKept = AllPromisesKept && Violations.empty();
   }
   return AllPromisesKept ? 0 : 1;
--- a/soak/soak.cpp
+++ b/soak/soak.cpp
@@ -95,6 +95,8 @@
   Server->OwnAddress = allocateAddress();
   Server->ProxyAddress = allocateAddress();
   Server->Proxy = std::make_unique<FaultProxy>(Context, Server->OwnAddress);
+  Server->Proxy->copyBlocks(
+      [this](std::string_view Block) { return Copies.drawDelay(Block); });
   if (!Server->Proxy->listen(Server->ProxyAddress))
     throw std::runtime_error("cannot listen on server proxy address " +
                              Server->ProxyAddress);
@@ -208,6 +210,7 @@
   watchProcesses();
   scheduleFaults();
   scheduleWishes();
+  scheduleRestarts();
   scheduleEndlessPeers();
   // The last change of the configuration. Every host must apply it when
   // RecoveredBeforeEnd is left of the run.
--- a/soak/soak.h
+++ b/soak/soak.h
@@ -8,6 +8,7 @@
 #include "soak/fault_proxy.h"
 #include "soak/host_process.h"
 #include "soak/promises.h"
+#include "soak/refusal_copies.h"
 #include "soak/soak_server.h"
 #include "tests/standins/store_standin.h"
 
@@ -53,6 +54,8 @@
   std::vector<std::string> run();
   /// Results of the run.
   const PromiseChecker &checker() const { return Checker; }
+  /// Number of refusals that were sent once more.
+  std::size_t refusalCopies() const { return Copies.count(); }
   /// Largest memory of a host process, in megabytes.
   std::size_t peakMemoryMb() const { return PeakMemoryMb; }
 
@@ -65,6 +68,8 @@
     std::string ProxyAddress;
     /// Incremented at every start.
     std::uint64_t Incarnation = 0;
+    /// The store names it as draining, or has dropped it.
+    bool IsLeaving = false;
     /// Null while the server is crashed.
     std::unique_ptr<SoakServer> RunningServer;
     std::unique_ptr<FaultProxy> Proxy;
@@ -100,6 +105,11 @@
   void injectFault();
   /// Schedules servers that name a limit, want a pause or leave.
   void scheduleWishes();
+  /// Schedules servers that start again under new ids.
+  void scheduleRestarts();
+  void restartOnceServers(std::chrono::milliseconds OldEntryTime);
+  void restartWhenIdle(ServerInstance &Server,
+                       std::chrono::milliseconds OldEntryTime);
   void announceWish(ServerInstance &Server, long Kind, double Limit,
                     std::chrono::milliseconds Length);
 
@@ -132,6 +142,7 @@
 
   const SoakOptions Options;
   std::mt19937_64 Random;
+  RefusalCopies Copies{Options.Seed};
   asio::io_context Context;
   StoreStandin Store{Context};
   HttpClient CallerClient{Context, 1U << 20U};
--- a/soak/soak_faults.cpp
+++ b/soak/soak_faults.cpp
@@ -138,8 +138,9 @@
   printEvent("replace " + Server.Id);
   addServer(Server.Service);
   registerServer(Server, "draining");
+  Server.IsLeaving = true;
   Checker.forbidServer(Server.Id, std::chrono::steady_clock::now() + DrainTime);
-  runAfter(3500ms, [this, &Server] { Store.remove("servers", Server.Id); });
+  runAfter(3500ms, [this, Id = Server.Id] { Store.remove("servers", Id); });
 }
 
 void Soak::slowDownServer() {
--- a/soak/soak_server.cpp
+++ b/soak/soak_server.cpp
@@ -59,7 +59,11 @@
   }
   const std::string RequestId = findFieldOrEmpty(Request, "X-Request-Id");
   if (findFieldOrEmpty(Request, "X-Expect-Instance") != Id) {
-    Exchange->respond({421, {{"X-Instance-Id", Id}}, ""});
+    Exchange->respond({421,
+                       {{"X-Instance-Id", Id},
+                        {"X-Request-Id", RequestId},
+                        {"X-Not-Executed", "1"}},
+                       ""});
     return;
   }
   ServerEvent Event{RequestId, Service, Id, Wishes.Leaving, Wishes.Pause};
@@ -67,6 +71,7 @@
   if (ExecutingCount >= ConcurrencyLimit || Wishes.Pause > 0ms) {
     std::vector<HeaderField> Headers = makeHeaders();
     Headers.push_back({"X-Not-Executed", "1"});
+    Headers.push_back({"X-Request-Id", RequestId});
     if (Wishes.Pause > 0ms)
       Headers.push_back(
           {"Retry-After",
--- a/soak/soak_server.h
+++ b/soak/soak_server.h
@@ -56,6 +56,7 @@
   /// by \p Factor.
   void setSlowness(unsigned Factor) { SlownessFactor = Factor; }
   void announce(AnnouncedWishes NewWishes) { Wishes = std::move(NewWishes); }
+  bool isIdle() const { return ExecutingCount == 0; }
   const std::string &id() const { return Id; }
   const std::string &service() const { return Service; }
 
