Count repeats at the soak's servers against the limit

RetryChecker counts arrivals at the stand-in servers, rejected ones included, and compares each window with the limit that the hosts are told.

--- a/soak/main.cpp
+++ b/soak/main.cpp
@@ -15,6 +15,9 @@
 DEFINE_bool(tell_memory, true, "whether the hosts are told of it");
 DEFINE_uint64(endless, 3,
               "connections to each host on which callers send without end");
+DEFINE_bool(retry_trouble, false,
+            "make hosts use up their retries, with herd restarts and pauses");
+DEFINE_double(retry_slack, 50, "fixed part of the fleet's limit on retries");
 DEFINE_string(program, "build/daemon/mimosacartd", "path of mimosacartd");
 DEFINE_string(folder, "build/soak-out",
               "folder for the hosts' settings files and logs");
@@ -36,6 +39,8 @@
     Options.MemoryMb = FLAGS_memory_mb;
     Options.TellMemory = FLAGS_tell_memory;
     Options.EndlessCallers = FLAGS_endless;
+    Options.RetryTrouble = FLAGS_retry_trouble;
+    Options.Retries.Slack = FLAGS_retry_slack;
     Options.Program = FLAGS_program;
     Options.Folder = fmt::format("{}/{}", FLAGS_folder, Seed);
     Soak Run(Options);
@@ -43,13 +48,14 @@
     for (const std::string &Violation : Violations)
       fmt::print("broken {}\n", Violation);
     const PromiseChecker &Checker = Run.checker();
-    fmt::print("seed {}: {} requests, {} served, {} at limited servers, {} "
-               "pauses, {} answers of leaving servers, peak of {} MB, {} "
-               "promises broken\n",
-               Seed, Checker.requestCount(), Checker.servedCount(),
-               Checker.wishes().limitedArrivals(), Checker.wishes().pauses(),
-               Checker.wishes().leavingAnswers(), Run.peakMemoryMb(),
-               Violations.size());
+    fmt::print(
+        "seed {}: {} requests, {} served, {} at limited servers, {} "
+        "pauses, {} answers of leaving servers, {} repeats, at most {:.2f} "
+        "of the limit, peak of {} MB, {} promises broken\n",
+        Seed, Checker.requestCount(), Checker.servedCount(),
+        Checker.wishes().limitedArrivals(), Checker.wishes().pauses(),
+        Checker.wishes().leavingAnswers(), Run.retries().repeats(),
+        Run.retries().mostUsed(), Run.peakMemoryMb(), Violations.size());
     AllPromisesKept = AllPromisesKept && Violations.empty();
   }
   return AllPromisesKept ? 0 : 1;
--- a/soak/soak.cpp
+++ b/soak/soak.cpp
@@ -27,7 +27,8 @@
 } // namespace
 
 Soak::Soak(SoakOptions RunOptions)
-    : Options(std::move(RunOptions)), Random(Options.Seed) {
+    : Options(std::move(RunOptions)), Random(Options.Seed),
+      Retries(Options.Retries) {
   std::filesystem::create_directories(Options.Folder);
   StoreAddress = allocateAddress();
   if (!Store.listen(StoreAddress))
@@ -111,7 +112,11 @@
             Checker.onExecutionStarted(Event);
           },
           [this](const ServerEvent &Event) { Checker.onArrived(Event); },
-          [this](const ServerEvent &Event) { Checker.onAnswerSent(Event); }});
+          [this](const ServerEvent &Event) { Checker.onAnswerSent(Event); },
+          [this](const ServerEvent &Event) {
+            Retries.onArrival(std::chrono::steady_clock::now(), Event.Service,
+                              Event.RequestId);
+          }});
   Checker.wishes().onRestart(Server.Id);
   if (!Server.RunningServer->listen(Server.OwnAddress))
     throw std::runtime_error("cannot listen on server address " +
@@ -183,18 +188,25 @@
   if (Index == 0)
     PeerSeeds.clear();
   PeerSeeds.push_back(allocateAddress());
+  // With fewer seeds, the others must be found.
+  constexpr std::size_t FewSeeds = 3;
+  std::vector<std::string> ToldSeeds = PeerSeeds;
+  if (Options.RetryTrouble)
+    ToldSeeds.resize(std::min(FewSeeds, ToldSeeds.size()));
   std::ofstream File(Path);
   File << fmt::format(
       "[host]\nname = \"{}\"\ndata_centre = \"here\"\n{}[listen]\n"
       "callers = \"{}\"\npeers = \"{}\"\nadmin = \"{}\"\n[platform]\n"
       "address = \"{}\"\n[peers]\nseeds = [\"{}\"]\n[direct]\n"
-      "directory = \"{}\"\nreadiness = \"{}\"\nstop_grace = \"4s\"\n",
+      "directory = \"{}\"\nreadiness = \"{}\"\nstop_grace = \"4s\"\n"
+      "retry_share = {}\nretry_slack = {}\nretry_window = \"{}s\"\n",
       Name,
       Options.TellMemory ? fmt::format("memory_mb = {}\n", Options.MemoryMb)
                          : "",
       Host.CallerAddress, PeerSeeds.back(), allocateAddress(),
-      StoreProxyAddress, fmt::join(PeerSeeds, "\", \""), allocateAddress(),
-      allocateAddress());
+      StoreProxyAddress, fmt::join(ToldSeeds, "\", \""), allocateAddress(),
+      allocateAddress(), Options.Retries.Share, Options.Retries.Slack,
+      Options.Retries.Window.count());
   File.close();
   Host.Process = std::make_unique<HostProcess>(
       Options.Program, Path, Options.Folder + "/" + Name + ".log");
@@ -209,6 +221,7 @@
   scheduleFaults();
   scheduleWishes();
   scheduleEndlessPeers();
+  scheduleRetryTrouble();
   // The last change of the configuration. Every host must apply it when
   // RecoveredBeforeEnd is left of the run.
   runAfter(std::chrono::duration_cast<std::chrono::milliseconds>(
@@ -218,6 +231,8 @@
       std::chrono::duration_cast<std::chrono::milliseconds>(Options.Length),
       [this] { IsSending = false; });
   Context.run_until(End + PromiseChecker::RouteTimeout + 1s);
+  for (const std::string &Violation : Retries.findViolations())
+    Checker.addViolation(Violation);
   return Checker.findViolations(End - RecoveredBeforeEnd, Hosts.size(),
                                 OnceService);
 }
@@ -240,6 +255,8 @@
   Request.Idempotent = drawIndex(2) == 0;
   Request.Host = HostIndex;
   Request.SentAt = std::chrono::steady_clock::now();
+  Retries.onRequest(Request.SentAt,
+                    Request.Idempotent ? ReadService : OnceService);
   HttpCall Call;
   Call.Address = Hosts[HostIndex].CallerAddress;
   Call.ConnectTimeout = 1s;
--- a/soak/soak.h
+++ b/soak/soak.h
@@ -8,6 +8,7 @@
 #include "soak/fault_proxy.h"
 #include "soak/host_process.h"
 #include "soak/promises.h"
+#include "soak/retry_checker.h"
 #include "soak/soak_server.h"
 #include "tests/standins/store_standin.h"
 
@@ -37,6 +38,11 @@
   bool TellMemory = true;
   /// Connections to each host on which callers send without end.
   std::size_t EndlessCallers = 3;
+  /// Limits on retries that the hosts are told.
+  SoakRetryLimits Retries;
+  /// Whether servers fail and many hosts restart or pause at once, so that all
+  /// retries are used up. Hosts know the addresses of three hosts only.
+  bool RetryTrouble = false;
   /// Path of `mimosacartd`.
   std::string Program;
   /// Folder for the hosts' settings files and logs.
@@ -53,6 +59,7 @@
   std::vector<std::string> run();
   /// Results of the run.
   const PromiseChecker &checker() const { return Checker; }
+  const RetryChecker &retries() const { return Retries; }
   /// Largest memory of a host process, in megabytes.
   std::size_t peakMemoryMb() const { return PeakMemoryMb; }
 
@@ -102,6 +109,15 @@
   void scheduleWishes();
   void announceWish(ServerInstance &Server, long Kind, double Limit,
                     std::chrono::milliseconds Length);
+  /// Schedules trouble that makes hosts use up their retries.
+  void scheduleRetryTrouble();
+  void startRetryEpisode();
+  void troubleServers(ServerTrouble Kind);
+  /// Suspends a share of the hosts for a while.
+  void pauseHerd(double Share);
+  /// Sends \p Signal to a share of the hosts and returns their indices.
+  std::vector<std::size_t> signalHerd(int Signal, double Share,
+                                      std::chrono::milliseconds Length);
 
   void killHost();
   void pauseHost();
@@ -136,6 +152,8 @@
   StoreStandin Store{Context};
   HttpClient CallerClient{Context, 1U << 20U};
   PromiseChecker Checker;
+  RetryChecker Retries;
+  std::mt19937_64 RetryRandom;
   std::string StoreAddress;
   std::vector<std::unique_ptr<ServerInstance>> Servers;
   std::vector<EntryHost> Hosts;
--- a/soak/soak_server.cpp
+++ b/soak/soak_server.cpp
@@ -49,6 +49,24 @@
   return Headers;
 }
 
+bool SoakServer::answerInTrouble(
+    const ServerEvent &Event, const std::shared_ptr<HttpExchange> &Exchange) {
+  if (Trouble == ServerTrouble::None)
+    return false;
+  std::vector<HeaderField> Headers = makeHeaders();
+  Headers.push_back({"X-Request-Id", Event.RequestId});
+  const bool Refuses = Trouble == ServerTrouble::Refuses;
+  if (Refuses)
+    Headers.push_back({"X-Not-Executed", "1"});
+  else
+    Callbacks.ExecutionStarted(Event);
+  ServerEvent Answered = Event;
+  Answered.Pause = 0ms;
+  Callbacks.AnswerSent(Answered);
+  Exchange->respond({Refuses ? 503U : 500U, std::move(Headers), ""});
+  return true;
+}
+
 void SoakServer::onRequest(const HttpRequest &Request,
                            const std::shared_ptr<HttpExchange> &Exchange) {
   if (Request.Target == "/health") {
@@ -58,12 +76,15 @@
     return;
   }
   const std::string RequestId = findFieldOrEmpty(Request, "X-Request-Id");
+  ServerEvent Event{RequestId, Service, Id, Wishes.Leaving, Wishes.Pause};
+  Callbacks.Reached(Event);
   if (findFieldOrEmpty(Request, "X-Expect-Instance") != Id) {
     Exchange->respond({421, {{"X-Instance-Id", Id}}, ""});
     return;
   }
-  ServerEvent Event{RequestId, Service, Id, Wishes.Leaving, Wishes.Pause};
   Callbacks.Arrived(Event);
+  if (answerInTrouble(Event, Exchange))
+    return;
   if (ExecutingCount >= ConcurrencyLimit || Wishes.Pause > 0ms) {
     std::vector<HeaderField> Headers = makeHeaders();
     Headers.push_back({"X-Not-Executed", "1"});
--- a/soak/soak_server.h
+++ b/soak/soak_server.h
@@ -33,6 +33,15 @@
   std::chrono::milliseconds Pause{};
 };
 
+/// What a server does to requests instead of running them.
+enum class ServerTrouble : std::uint8_t {
+  None,
+  /// Answers 500.
+  Breaks,
+  /// Answers that the request has not run.
+  Refuses,
+};
+
 /// Listens on one address until it is destroyed.
 class SoakServer {
 public:
@@ -43,6 +52,8 @@
     std::function<void(const ServerEvent &)> Arrived;
     /// Called just before the server sends its answer.
     std::function<void(const ServerEvent &)> AnswerSent;
+    /// Called with each request that arrives, also if it names another server.
+    std::function<void(const ServerEvent &)> Reached;
   };
 
   SoakServer(asio::io_context &Context, std::string Id, std::string Service,
@@ -56,12 +67,16 @@
   /// by \p Factor.
   void setSlowness(unsigned Factor) { SlownessFactor = Factor; }
   void announce(AnnouncedWishes NewWishes) { Wishes = std::move(NewWishes); }
+  void setTrouble(ServerTrouble Kind) { Trouble = Kind; }
   const std::string &id() const { return Id; }
   const std::string &service() const { return Service; }
 
 private:
   void onRequest(const HttpRequest &Request,
                  const std::shared_ptr<HttpExchange> &Exchange);
+  /// Answers the request and returns true if the server has trouble with it.
+  bool answerInTrouble(const ServerEvent &Event,
+                       const std::shared_ptr<HttpExchange> &Exchange);
   /// Value of the X-Server-Load header: requests in execution, 0, concurrency
   /// limit and slowness in percent.
   std::string formatLoad() const;
@@ -76,6 +91,7 @@
   unsigned ExecutingCount = 0;
   unsigned SlownessFactor = 1;
   AnnouncedWishes Wishes;
+  ServerTrouble Trouble = ServerTrouble::None;
   /// Expires with the server, so that pending timers do not access it.
   std::shared_ptr<int> LifetimeToken = std::make_shared<int>(0);
   std::unique_ptr<HttpServer> Http;
