--- /dev/null
+++ b/tests/direct/request_flow_retry_test.cpp
@@ -0,0 +1,98 @@
+/// \file
+/// Which sends RequestFlow takes from the budget of retries. In an incident a
+/// service got more repeats than its limit allows.
+#include "tests/direct/request_flow_fixture.h"
+
+namespace mimosacart {
+namespace {
+
+class RequestFlowRetryTest : public RequestFlowTest {
+protected:
+  RequestFlowRetryTest() {
+    Harness.addServer("c");
+    for (const char *Server : {"a", "b", "c"})
+      Harness.reportLoad(Server);
+  }
+  std::size_t usedRetries() const {
+    return Harness.Flow.retryBudgets(Harness.Now).at(0).Used;
+  }
+  /// Lets the selection after a failed call find its next server.
+  void chooseNext() { Harness.answerProbes(IdleLoad); }
+};
+
+TEST_F(RequestFlowRetryTest, sendCall_first_takesNone) {
+  Harness.start();
+  EXPECT_EQ(usedRetries(), 0U);
+}
+
+TEST_F(RequestFlowRetryTest, sendCall_afterRefusal_takesOne) {
+  useNonIdempotentRoute();
+  Harness.start();
+  Harness.answerNotRun(firstServer());
+  chooseNext();
+  ASSERT_EQ(Harness.openCalls().size(), 1U);
+  EXPECT_EQ(usedRetries(), 1U);
+}
+
+TEST_F(RequestFlowRetryTest, sendCall_afterOtherServerAtAddress_takesOne) {
+  useNonIdempotentRoute();
+  Harness.start();
+  Harness.answerWrongServer(firstServer());
+  chooseNext();
+  ASSERT_EQ(Harness.openCalls().size(), 1U);
+  EXPECT_EQ(usedRetries(), 1U);
+}
+
+TEST_F(RequestFlowRetryTest, sendCall_afterClosedConnection_takesOne) {
+  Harness.start();
+  Harness.failCall(firstServer(), CallEnd::Broken);
+  chooseNext();
+  ASSERT_EQ(Harness.openCalls().size(), 1U);
+  EXPECT_EQ(usedRetries(), 1U);
+}
+
+TEST_F(RequestFlowRetryTest, sendCall_firstWasNotSent_takesNone) {
+  Harness.start();
+  Harness.failCall(firstServer(), CallEnd::NotSent);
+  chooseNext();
+  ASSERT_EQ(Harness.openCalls().size(), 1U);
+  EXPECT_EQ(usedRetries(), 0U);
+}
+
+TEST_F(RequestFlowRetryTest, onCallResult_retryWasNotSent_givesNoneBack) {
+  Harness.start();
+  Harness.failCall(firstServer(), CallEnd::Broken);
+  chooseNext();
+  Harness.failCall(firstServer(), CallEnd::NotSent);
+  chooseNext();
+  ASSERT_EQ(Harness.openCalls().size(), 1U);
+  EXPECT_EQ(usedRetries(), 2U);
+}
+
+TEST_F(RequestFlowRetryTest, sendCall_hedgeOpenAndCallFails_takesOneInAll) {
+  const RequestId Id = Harness.start();
+  const std::string First = firstServer();
+  Harness.advance(220ms);
+  chooseNext();
+  ASSERT_EQ(Harness.openCalls().size(), 2U);
+  EXPECT_EQ(usedRetries(), 1U);
+  Harness.failCall(First, CallEnd::Broken);
+  Harness.failCall(firstServer(), CallEnd::Broken);
+  chooseNext();
+  // The route allows two attempts.
+  EXPECT_TRUE(Harness.openCalls().empty());
+  EXPECT_TRUE(Harness.ended(Id));
+  EXPECT_EQ(usedRetries(), 1U);
+}
+
+TEST_F(RequestFlowRetryTest, sendCall_retryLater_carriesTimeLeft) {
+  Harness.start();
+  Harness.advance(100ms);
+  Harness.failCall(firstServer(), CallEnd::Broken);
+  chooseNext();
+  ASSERT_FALSE(Harness.Calls.empty());
+  EXPECT_EQ(Harness.Calls.back().Remaining, 900ms);
+}
+
+} // namespace
+} // namespace mimosacart
