--- a/soak/retry_trouble.cpp
+++ b/soak/retry_trouble.cpp
@@ -5,6 +5,7 @@
 #include <fmt/format.h>
 
 #include <algorithm>
+#include <cmath>
 #include <csignal>
 
 namespace mimosacart {
@@ -84,7 +85,7 @@
     Order[Index] = Index;
   std::shuffle(Order.begin(), Order.end(), RetryRandom);
   Order.resize(static_cast<std::size_t>(
-      Share * static_cast<double>(Order.size()) + 0.5));
+      std::lround(Share * static_cast<double>(Order.size()))));
   const std::string Description =
       Signal == SIGKILL ? "herd kill" : "herd pause";
   printEvent(fmt::format("{} of {} hosts", Description, Order.size()));
