--- a/soak/soak.h
+++ b/soak/soak.h
@@ -9,6 +9,7 @@
 #include "soak/host_process.h"
 #include "soak/promises.h"
 #include "soak/refusal_copies.h"
+#include "soak/retry_checker.h"
 #include "soak/soak_server.h"
 #include "tests/standins/store_standin.h"
 
@@ -40,6 +41,11 @@
   bool TellMemory = true;
   /// Connections to each host on which callers send without end.
   std::size_t EndlessCallers = 3;
+  /// Limits on retries that the hosts are told.
+  SoakRetryLimits Retries;
+  /// Whether servers fail and many hosts restart or pause at once, so that all
+  /// retries are used up. Hosts know the addresses of three hosts only.
+  bool RetryTrouble = false;
   /// Path of `mimosacartd`.
   std::string Program;
   /// Folder for the hosts' settings files and logs.
@@ -58,6 +64,7 @@
   const PromiseChecker &checker() const { return Checker; }
   /// Number of refusals that were sent once more.
   std::size_t refusalCopies() const { return Copies.count(); }
+  const RetryChecker &retries() const { return Retries; }
   /// Largest memory of a host process, in megabytes.
   std::size_t peakMemoryMb() const { return PeakMemoryMb; }
 
@@ -125,6 +132,15 @@
                        std::chrono::milliseconds OldEntryTime);
   void announceWish(ServerInstance &Server, long Kind, double Limit,
                     std::chrono::milliseconds Length);
+  /// Schedules trouble that makes hosts use up their retries.
+  void scheduleRetryTrouble();
+  void startRetryEpisode();
+  void troubleServers(ServerTrouble Kind);
+  /// Suspends a share of the hosts for a while.
+  void pauseHerd(double Share);
+  /// Sends \p Signal to a share of the hosts and returns their indices.
+  std::vector<std::size_t> signalHerd(int Signal, double Share,
+                                      std::chrono::milliseconds Length);
 
   void killHost();
   void pauseHost();
@@ -160,6 +176,8 @@
   StoreStandin Store{Context};
   HttpClient CallerClient{Context, 1U << 20U};
   PromiseChecker Checker;
+  RetryChecker Retries;
+  std::mt19937_64 RetryRandom;
   std::string StoreAddress;
   std::vector<std::unique_ptr<ServerInstance>> Servers;
   std::vector<EntryHost> Hosts;
