Test which answers end a server's limit

Errors, refusals and unsigned answers without Server-Limit must not end it, a success without it must, and an answer of any status may name one. All hold already; only the success was tested. Counting every answer as proper makes onAnswer_failureWithoutLimit_keepsIt fail, so the test bites.

--- a/tests/direct/request_flow_wish_test.cpp
+++ b/tests/direct/request_flow_wish_test.cpp
@@ -51,6 +51,69 @@
   EXPECT_EQ(Harness.openCalls().size(), 1U);
 }
 
+/// A server whose limit leaves no request for the next seconds.
+class RequestFlowKeptLimitTest : public testing::Test {
+protected:
+  RequestFlowKeptLimitTest() {
+    Harness.addServer("a", 50);
+    Harness.reportLoad("a");
+    Harness.start();
+    Harness.start();
+    Harness.answer("a", 200, true, Limited);
+  }
+
+  bool isLimited() {
+    Harness.reportLoad("a");
+    const std::size_t Before = Harness.openCalls().size();
+    Harness.start();
+    return Harness.openCalls().size() == Before;
+  }
+
+  const ServerWishes Limited{0.25, false, {}, false};
+  FlowHarness Harness;
+};
+
+// Guards against errors, refusals and unsigned answers that end a limit, since
+// they may lack what other answers name.
+TEST_F(RequestFlowKeptLimitTest, onAnswer_failureWithoutLimit_keepsIt) {
+  for (const unsigned Status : {404U, 429U, 500U, 503U}) {
+    Harness.answer("a", Status);
+    EXPECT_TRUE(isLimited()) << Status;
+    // Another request is open for the next answer.
+    Harness.advance(5s);
+    Harness.reportLoad("a");
+    Harness.start();
+    ASSERT_EQ(Harness.openCalls(), Strings(1, "a")) << Status;
+  }
+  Harness.answer("a", 200, false);
+  EXPECT_TRUE(isLimited());
+}
+
+TEST_F(RequestFlowKeptLimitTest, onAnswer_unusableLimit_keepsTheLast) {
+  Harness.answer("a", 200, true, {{}, false, {}, true});
+  EXPECT_TRUE(isLimited());
+}
+
+TEST_F(RequestFlowKeptLimitTest, onAnswer_successWithoutLimit_endsIt) {
+  Harness.answer("a", 200);
+  EXPECT_FALSE(isLimited());
+}
+
+// Guards against limits that only successes may name.
+TEST(RequestFlowLimitTest, onAnswer_failureNamesLimit_isKept) {
+  for (const unsigned Status : {404U, 500U, 503U}) {
+    FlowHarness Harness;
+    Harness.addServer("a", 50);
+    Harness.reportLoad("a");
+    Harness.start();
+    Harness.answer("a", Status, true, {0.25, false, {}, false});
+    Harness.reportLoad("a");
+    Harness.start();
+    EXPECT_TRUE(Harness.openCalls().empty()) << Status;
+    EXPECT_EQ(Harness.Flow.constraints().limitedServers(), 1U) << Status;
+  }
+}
+
 /// Servers that say that they leave or want no requests for a while.
 class RequestFlowWishTest : public RequestFlowTest {
 protected:
