Check limits in the soak as the rule says, and press on them

What was wrong: the soak's check let any disturbance of a host since the limit was first named excuse it for as long as the limit held: a reload, a fault of the store or the crash of any server, too. The rule excuses a host that was restarted, stood still or was cut.

Change: disturbances have a kind; a process that stopped or a harmed link excuses a host until 3 s after it, the rest does not. The check stays stricter than the rule: it counts hosts that have not passed on an answer yet. Times are passed in, so that it has tests. Each run limits all servers for reads at once for 5 to 8 s, by 0 to 10 requests a second; other limits go down to 0. The draws of the faults stay as they were.

--- a/soak/promises.cpp
+++ b/soak/promises.cpp
@@ -49,8 +49,8 @@
 void PromiseChecker::onArrived(const ServerEvent &Event) {
   const auto Request = Requests.find(Event.RequestId);
   if (Request != Requests.end())
-    Wishes.onArrival(Request->second.Host, Event.Server,
-                     Request->second.SentAt);
+    Wishes.onArrival(std::chrono::steady_clock::now(), Request->second.Host,
+                     Event.Server, Request->second.SentAt);
 }
 
 void PromiseChecker::onAnswerSent(const ServerEvent &Event) {
@@ -95,13 +95,21 @@
                                   bool IncludePlanned) const {
   return std::any_of(
       Disturbances.begin(), Disturbances.end(), [&](const Disturbance &Entry) {
-        const bool AffectsHost = !Entry.Host || *Entry.Host == Host;
-        return AffectsHost && (IncludePlanned || !Entry.Planned) &&
+        return Entry.affects(Host) && (IncludePlanned || !Entry.isPlanned()) &&
                Entry.StartsAt <= To &&
                Entry.EndsAt + DisturbanceEffectTime >= From;
       });
 }
 
+bool PromiseChecker::wasInterrupted(std::size_t Host, SoakTime At) const {
+  return std::any_of(Disturbances.begin(), Disturbances.end(),
+                     [Host, At](const Disturbance &Entry) {
+                       return Entry.affects(Host) && Entry.isInterruption() &&
+                              Entry.StartsAt <= At &&
+                              Entry.EndsAt + DisturbanceEffectTime >= At;
+                     });
+}
+
 std::string PromiseChecker::checkRequest(const ObservedRequest &Request) const {
   if (!Request.Idempotent && Request.ExecutionCount > 1)
     return fmt::format("TWICE: {} ran {} times", Request.Id,
--- a/soak/promises.h
+++ b/soak/promises.h
@@ -7,6 +7,7 @@
 #include "soak/wish_checker.h"
 
 #include <chrono>
+#include <cstdint>
 #include <map>
 #include <optional>
 #include <set>
@@ -39,6 +40,19 @@
   std::set<std::string> Services;
 };
 
+/// What a disturbance concerns.
+enum class DisturbanceKind : std::uint8_t {
+  /// A host's process is killed or stopped, or starts.
+  Process,
+  /// Like Process, as a planned operation.
+  PlannedStop,
+  Reload,
+  /// The link of a host to the store, or of all hosts to a server.
+  Link,
+  Store,
+  Server
+};
+
 /// A period in which a fault was injected or a planned stop, reload or restart
 /// took place.
 struct Disturbance {
@@ -47,8 +61,20 @@
   SoakTime EndsAt;
   /// Index of the affected entry host; empty if all hosts are affected.
   std::optional<std::size_t> Host;
+  DisturbanceKind Kind = DisturbanceKind::Process;
+
+  bool affects(std::size_t Index) const { return !Host || *Host == Index; }
   /// A planned operation, such as a stop or a reload, rather than a fault.
-  bool Planned = false;
+  bool isPlanned() const {
+    return Kind == DisturbanceKind::PlannedStop ||
+           Kind == DisturbanceKind::Reload;
+  }
+  /// A process did not run, or messages may have been late.
+  bool isInterruption() const {
+    return Kind == DisturbanceKind::Process ||
+           Kind == DisturbanceKind::PlannedStop ||
+           Kind == DisturbanceKind::Link;
+  }
 };
 
 /// Records the observed requests and disturbances and reports violated
@@ -101,6 +127,8 @@
   /// ones count only if \p IncludePlanned.
   bool wasDisturbed(std::size_t Host, SoakTime From, SoakTime To,
                     bool IncludePlanned) const;
+  /// Whether an interruption affects \p Host at \p At.
+  bool wasInterrupted(std::size_t Host, SoakTime At) const;
   /// Description of the guarantee that \p Request violates, or empty.
   std::string checkRequest(const ObservedRequest &Request) const;
   std::string checkPlannedStop(const ObservedRequest &Request) const;
@@ -115,8 +143,11 @@
   std::map<std::string, SoakTime> ForbiddenServers;
   std::vector<Disturbance> Disturbances;
   WishChecker Wishes{[this](std::size_t Host, SoakTime From, SoakTime To) {
-    return wasDisturbed(Host, From, To, true);
-  }};
+                       return wasDisturbed(Host, From, To, true);
+                     },
+                     [this](std::size_t Host, SoakTime At) {
+                       return wasInterrupted(Host, At);
+                     }};
   /// Violations detected while the run was in progress.
   std::vector<std::string> Violations;
 };
--- a/soak/soak.cpp
+++ b/soak/soak.cpp
@@ -17,6 +17,7 @@
 
 constexpr const char *ReadService = "records";
 /// Service whose only server answers without end.
+constexpr std::size_t ReadServers = 4;
 constexpr const char *EndlessService = "endless";
 constexpr std::size_t MaxBodyBytes = 64U << 20U;
 constexpr unsigned FirstPort = 18080;
@@ -33,7 +34,7 @@
   if (!Store.listen(StoreAddress))
     throw std::runtime_error("cannot listen on the store address " +
                              StoreAddress);
-  for (unsigned Count = 0; Count < 4; ++Count)
+  for (std::size_t Count = 0; Count < ReadServers; ++Count)
     addServer(ReadService);
   for (unsigned Count = 0; Count < 3; ++Count) {
     addServer("ledger");
@@ -81,9 +82,10 @@
 
 void Soak::recordDisturbance(const std::string &Description,
                              std::chrono::milliseconds Length,
-                             std::optional<std::size_t> Host, bool Planned) {
+                             std::optional<std::size_t> Host,
+                             DisturbanceKind Kind) {
   const SoakTime Now = std::chrono::steady_clock::now();
-  Checker.addDisturbance({Description, Now, Now + Length, Host, Planned});
+  Checker.addDisturbance({Description, Now, Now + Length, Host, Kind});
   printEvent(fmt::format("{} for {} ms{}", Description, Length.count(),
                          Host ? fmt::format(" at host {}", *Host) : ""));
 }
@@ -271,7 +273,7 @@
     if (Host.Process->running() || !Host.RestartWhenEnded)
       continue;
     Host.RestartWhenEnded = false;
-    recordDisturbance("restart", 2000ms, Index);
+    recordDisturbance("restart", 2000ms, Index, DisturbanceKind::Process);
     runAfter(drawDuration(100, 1200), [&Host] {
       Host.Process->start();
       Host.RestartWhenEnded = true;
@@ -334,24 +336,34 @@
     // The servers for reads come first; one of them is never asked, so that
     // requests can be served.
     const auto Index = static_cast<std::size_t>(Draw(0, 2));
-    const long Kind = Draw(0, 3);
-    const double Limit = static_cast<double>(Draw(5, 40)) / 10;
+    const auto Kind = static_cast<WishKind>(Draw(0, 3));
+    const double Limit = static_cast<double>(Draw(0, 400)) / 100;
     runAfter(Start, [this, Index, Kind, Limit, Length] {
       announceWish(*Servers[Index], Kind, Limit, Length);
     });
   }
+  // All servers for reads at once, so that callers press on the limits, and for
+  // longer than hosts have to learn them.
+  const auto Start = std::chrono::milliseconds(2000 + Draw(0, Period / 3));
+  const auto Length = std::chrono::milliseconds(Draw(5000, 8000));
+  for (std::size_t Index = 0; Index < ReadServers; ++Index) {
+    const double Limit = static_cast<double>(Draw(0, 1000)) / 100;
+    runAfter(Start, [this, Index, Limit, Length] {
+      announceWish(*Servers[Index], WishKind::Limit, Limit, Length);
+    });
+  }
 }
 
-void Soak::announceWish(ServerInstance &Server, long Kind, double Limit,
+void Soak::announceWish(ServerInstance &Server, WishKind Kind, double Limit,
                         std::chrono::milliseconds Length) {
   if (!Server.RunningServer)
     return;
   AnnouncedWishes Wishes;
-  if (Kind == 0)
+  if (Kind == WishKind::Leave)
     Wishes.Leaving = true;
-  else if (Kind == 1)
+  else if (Kind == WishKind::Pause)
     Wishes.Pause = Length;
-  else if (Kind == 2)
+  else if (Kind == WishKind::Limit)
     Wishes.Limit = fmt::format("{}", Limit);
   else
     Wishes.Limit = "-1e999,many";
@@ -359,15 +371,18 @@
                          Server.Id, Wishes.Leaving, Wishes.Pause.count(),
                          Wishes.Limit));
   Server.RunningServer->announce(Wishes);
-  Checker.wishes().setLimit(Server.Id, Kind == 2 ? Limit : 0);
+  Checker.wishes().setLimit(std::chrono::steady_clock::now(), Server.Id,
+                            Kind == WishKind::Limit ? std::optional(Limit)
+                                                    : std::nullopt);
   // A server that leaves does not change its mind.
-  if (Kind == 0)
+  if (Kind == WishKind::Leave)
     return;
   runAfter(Length, [this, &Server] {
     if (!Server.RunningServer)
       return;
     Server.RunningServer->announce({});
-    Checker.wishes().setLimit(Server.Id, 0);
+    Checker.wishes().setLimit(std::chrono::steady_clock::now(), Server.Id,
+                              std::nullopt);
   });
 }
 
--- a/soak/soak.h
+++ b/soak/soak.h
@@ -100,7 +100,8 @@
   void injectFault();
   /// Schedules servers that name a limit, want a pause or leave.
   void scheduleWishes();
-  void announceWish(ServerInstance &Server, long Kind, double Limit,
+  enum class WishKind : std::uint8_t { Leave, Pause, Limit, UnreadableLimit };
+  void announceWish(ServerInstance &Server, WishKind Kind, double Limit,
                     std::chrono::milliseconds Length);
 
   void killHost();
@@ -124,7 +125,7 @@
   /// affects all hosts.
   void recordDisturbance(const std::string &Description,
                          std::chrono::milliseconds Length,
-                         std::optional<std::size_t> Host, bool Planned = false);
+                         std::optional<std::size_t> Host, DisturbanceKind Kind);
   /// Draws an index below \p Count.
   std::size_t drawIndex(std::size_t Count);
   /// Draws a duration from \p MinMs to \p MaxMs, both included.
--- a/soak/soak_faults.cpp
+++ b/soak/soak_faults.cpp
@@ -51,14 +51,14 @@
 
 void Soak::killHost() {
   const std::size_t HostIndex = drawIndex(Hosts.size());
-  recordDisturbance("kill", 1500ms, HostIndex);
+  recordDisturbance("kill", 1500ms, HostIndex, DisturbanceKind::Process);
   Hosts[HostIndex].Process->signal(SIGKILL);
 }
 
 void Soak::pauseHost() {
   const std::size_t HostIndex = drawIndex(Hosts.size());
   const auto Length = drawDuration(200, 3000);
-  recordDisturbance("pause", Length, HostIndex);
+  recordDisturbance("pause", Length, HostIndex, DisturbanceKind::Process);
   Hosts[HostIndex].Process->signal(SIGSTOP);
   runAfter(Length,
            [this, HostIndex] { Hosts[HostIndex].Process->signal(SIGCONT); });
@@ -66,13 +66,14 @@
 
 void Soak::stopHost() {
   const std::size_t HostIndex = drawIndex(Hosts.size());
-  recordDisturbance("planned stop", 5000ms, HostIndex, true);
+  recordDisturbance("planned stop", 5000ms, HostIndex,
+                    DisturbanceKind::PlannedStop);
   Hosts[HostIndex].Process->signal(SIGTERM);
 }
 
 void Soak::reloadHost() {
   const std::size_t HostIndex = drawIndex(Hosts.size());
-  recordDisturbance("reload", 500ms, HostIndex, true);
+  recordDisturbance("reload", 500ms, HostIndex, DisturbanceKind::Reload);
   Hosts[HostIndex].Process->signal(SIGHUP);
 }
 
@@ -82,7 +83,7 @@
   // Skips LinkFault::None.
   const auto Fault = static_cast<LinkFault>(1 + drawIndex(4));
   recordDisturbance(fmt::format("store link {}", toString(Fault)), Length,
-                    HostIndex);
+                    HostIndex, DisturbanceKind::Link);
   Hosts[HostIndex].StoreProxy->setFault(Fault);
   runAfter(Length, [this, HostIndex] {
     Hosts[HostIndex].StoreProxy->setFault(LinkFault::None);
@@ -95,7 +96,7 @@
   // Skips LinkFault::None.
   const auto Fault = static_cast<LinkFault>(1 + drawIndex(4));
   recordDisturbance(fmt::format("link of {} {}", Server.Id, toString(Fault)),
-                    Length, std::nullopt);
+                    Length, std::nullopt, DisturbanceKind::Link);
   Server.Proxy->setFault(Fault);
   runAfter(Length, [&Server] { Server.Proxy->setFault(LinkFault::None); });
 }
@@ -110,7 +111,7 @@
   // Skips StoreMood::Sound, which is no fault.
   const auto Mode = static_cast<StoreMood>(1 + drawIndex(3));
   recordDisturbance(fmt::format("store fault mode {}", static_cast<int>(Mode)),
-                    Length, std::nullopt);
+                    Length, std::nullopt, DisturbanceKind::Store);
   Store.setMood(Mode);
   runAfter(Length, [this] { Store.setMood(StoreMood::Sound); });
 }
@@ -120,7 +121,8 @@
   if (!Server.RunningServer)
     return;
   const auto Length = drawDuration(300, 3000);
-  recordDisturbance("crash of " + Server.Id, Length, std::nullopt);
+  recordDisturbance("crash of " + Server.Id, Length, std::nullopt,
+                    DisturbanceKind::Server);
   Server.RunningServer.reset();
   Server.Proxy->setFault(LinkFault::Reset);
   runAfter(Length, [this, &Server] {
--- a/soak/wish_checker.cpp
+++ b/soak/wish_checker.cpp
@@ -23,12 +23,12 @@
 
 } // namespace
 
-void WishChecker::setLimit(const std::string &Server,
-                           double RequestsPerSecond) {
-  if (RequestsPerSecond == 0)
-    Limits.erase(Server);
+void WishChecker::setLimit(Time Now, const std::string &Server,
+                           std::optional<double> RequestsPerSecond) {
+  if (RequestsPerSecond)
+    Limits[Server] = {*RequestsPerSecond, Now, {}};
   else
-    Limits[Server] = {RequestsPerSecond, std::chrono::steady_clock::now(), {}};
+    Limits.erase(Server);
 }
 
 void WishChecker::onLeavingAnswer(std::size_t Host, const std::string &Server) {
@@ -51,9 +51,8 @@
   Limits.erase(Server);
 }
 
-void WishChecker::onArrival(std::size_t Host, const std::string &Server,
-                            Time SentAt) {
-  const Time Now = std::chrono::steady_clock::now();
+void WishChecker::onArrival(Time Now, std::size_t Host,
+                            const std::string &Server, Time SentAt) {
   checkLimit(Server, Host, Now);
   checkPause(Server, Host, Now);
   const auto Found = Leaving.find({Host, Server});
@@ -71,14 +70,12 @@
     return;
   Limit &Named = Found->second;
   ++LimitedArrivals;
-  if (Now < Named.NamedAt + ContactTime ||
-      WasDisturbed(Host, Named.NamedAt, Now))
+  if (Now < Named.NamedAt + ContactTime || WasInterrupted(Host, Now))
     return;
-  Named.Arrivals.emplace_back(Now, Host);
+  Named.Arrivals.push_back(Now);
   const auto Recent = std::count_if(
-      Named.Arrivals.begin(), Named.Arrivals.end(), [Now](const auto &Arrival) {
-        return Now - Arrival.first <= LimitWindow;
-      });
+      Named.Arrivals.begin(), Named.Arrivals.end(),
+      [Now](Time Arrival) { return Now - Arrival <= LimitWindow; });
   const double Allowed =
       LimitFactor * Named.RequestsPerSecond *
           std::chrono::duration<double>(LimitWindow).count() +
--- a/soak/wish_checker.h
+++ b/soak/wish_checker.h
@@ -6,6 +6,7 @@
 #include <chrono>
 #include <functional>
 #include <map>
+#include <optional>
 #include <string>
 #include <utility>
 #include <vector>
@@ -20,18 +21,26 @@
   /// Whether the given host, or any host, was disturbed between two times.
   using DisturbedHook = std::function<bool(std::size_t Host, Time, Time)>;
 
-  explicit WishChecker(DisturbedHook WasDisturbed)
-      : WasDisturbed(std::move(WasDisturbed)) {}
+  /// Whether the process of the given host was restarted or stood still, or its
+  /// links were harmed, so shortly before a time that limits do not bind it.
+  using InterruptedHook = std::function<bool(std::size_t Host, Time)>;
 
-  /// The server names a limit from now on, in requests a second; 0 ends it.
-  void setLimit(const std::string &Server, double RequestsPerSecond);
+  WishChecker(DisturbedHook WasDisturbed, InterruptedHook WasInterrupted)
+      : WasDisturbed(std::move(WasDisturbed)),
+        WasInterrupted(std::move(WasInterrupted)) {}
+
+  /// The server names a limit from \p Now on, in requests a second; nothing
+  /// ends it.
+  void setLimit(Time Now, const std::string &Server,
+                std::optional<double> RequestsPerSecond);
   /// \p Host got an answer of the server that says it is leaving.
   void onLeavingAnswer(std::size_t Host, const std::string &Server);
   /// \p Host got a refusal that asks for a pause of \p Length.
   void onPauseAnswer(std::size_t Host, const std::string &Server,
                      std::chrono::milliseconds Length);
-  /// A request that its caller sent at \p SentAt reached the server.
-  void onArrival(std::size_t Host, const std::string &Server, Time SentAt);
+  /// A request that its caller sent at \p SentAt reached the server at \p Now.
+  void onArrival(Time Now, std::size_t Host, const std::string &Server,
+                 Time SentAt);
   /// Forgets what an earlier incarnation of the server asked for.
   void onRestart(const std::string &Server);
 
@@ -46,7 +55,8 @@
   struct Limit {
     double RequestsPerSecond = 0;
     Time NamedAt;
-    std::vector<std::pair<Time, std::size_t>> Arrivals;
+    /// Requests of hosts that were bound by the limit.
+    std::vector<Time> Arrivals;
   };
   struct Pause {
     Time AskedAt;
@@ -58,6 +68,7 @@
   void checkPause(const std::string &Server, std::size_t Host, Time Now);
 
   const DisturbedHook WasDisturbed;
+  const InterruptedHook WasInterrupted;
   std::map<std::string, Limit> Limits;
   std::map<HostAndServer, Pause> Pauses;
   /// When each host first got an answer that says the server is leaving.
