--- a/soak/soak.h
+++ b/soak/soak.h
@@ -130,7 +130,8 @@
   void restartOnceServers(std::chrono::milliseconds OldEntryTime);
   void restartWhenIdle(ServerInstance &Server,
                        std::chrono::milliseconds OldEntryTime);
-  void announceWish(ServerInstance &Server, long Kind, double Limit,
+  enum class WishKind : std::uint8_t { Leave, Pause, Limit, UnreadableLimit };
+  void announceWish(ServerInstance &Server, WishKind Kind, double Limit,
                     std::chrono::milliseconds Length);
   /// Schedules trouble that makes hosts use up their retries.
   void scheduleRetryTrouble();
@@ -163,7 +164,7 @@
   /// affects all hosts.
   void recordDisturbance(const std::string &Description,
                          std::chrono::milliseconds Length,
-                         std::optional<std::size_t> Host, bool Planned = false);
+                         std::optional<std::size_t> Host, DisturbanceKind Kind);
   /// Draws an index below \p Count.
   std::size_t drawIndex(std::size_t Count);
   /// Draws a duration from \p MinMs to \p MaxMs, both included.
