Don't read a table again that a peer sent in the new era

A call that waits for changes after a version of the era before ends with EraChanged although a peer has sent the whole table of the new era meanwhile. The follower compared what it knew when the call ended, so it read the whole table, one call and more for each table of each such host. It now compares the version that it asked for.

TableFollowerEraTest.setReadMode_peersSentNewEraEarlier_readsNothing on the code before: TableReads is 2, expected 1.

--- a/daemon/table_follower.cpp
+++ b/daemon/table_follower.cpp
@@ -148,19 +148,21 @@
 
 void TableFollower::awaitChanges(Duration Wait) {
   ++(Wait == Duration::zero() ? Calls.Fetches : Calls.Polls);
-  ChangesCall = Store.awaitChanges(Table, Callbacks.KnownVersion(), Wait,
-                                   [this](StoreResult<StoreRows> Result) {
-                                     if (!Stopped)
-                                       onChanges(std::move(Result));
-                                   });
+  const StoreVersion After = Callbacks.KnownVersion();
+  ChangesCall = Store.awaitChanges(
+      Table, After, Wait, [this, After](StoreResult<StoreRows> Result) {
+        if (!Stopped)
+          onChanges(After, std::move(Result));
+      });
 }
 
-void TableFollower::onChanges(StoreResult<StoreRows> Result) {
+void TableFollower::onChanges(StoreVersion After,
+                              StoreResult<StoreRows> Result) {
   const bool IsHistoryLost =
       Result.has_error() && (Result.error() == StoreError::HistoryGone ||
                              Result.error() == StoreError::EraChanged);
   if (IsHistoryLost) {
-    onHistoryLost(Result.error());
+    onHistoryLost(After, Result.error());
     return;
   }
   if (Result.has_error()) {
@@ -179,13 +181,13 @@
     runAfter(BatchPause, [this] { continueFollowing(); });
 }
 
-void TableFollower::onHistoryLost(const std::error_code &Error) {
-  const StoreVersion Known = Callbacks.KnownVersion();
+void TableFollower::onHistoryLost(StoreVersion After,
+                                  const std::error_code &Error) {
   Log.info("store_history_gone", {{"table", Table},
                                   {"why", Error.message()},
-                                  {"after", std::to_string(Known.number())}});
-  runAfter(Callbacks.WholeReadDelay(), [this, Known] {
-    if (Callbacks.KnownVersion() == Known)
+                                  {"after", std::to_string(After.number())}});
+  runAfter(Callbacks.WholeReadDelay(), [this, After] {
+    if (Callbacks.KnownVersion() == After)
       readFrom("");
     else
       continueFollowing();
--- a/daemon/table_follower.h
+++ b/daemon/table_follower.h
@@ -95,9 +95,10 @@
   void retry();
   /// Ends the series of failures, if there is one.
   void recordRegained();
-  void onChanges(StoreResult<StoreRows> Result);
-  /// The store's changes do not continue the cached rows, for reason \p Error.
-  void onHistoryLost(const std::error_code &Error);
+  /// Handles the answer to a request for the changes after \p After.
+  void onChanges(StoreVersion After, StoreResult<StoreRows> Result);
+  /// The store cannot tell what changed after \p After, for reason \p Error.
+  void onHistoryLost(StoreVersion After, const std::error_code &Error);
   void onFailure(const std::error_code &Error);
   void runAfter(Duration Delay, std::function<void()> Task);
 
--- a/tests/daemon/table_follower_test.cpp
+++ b/tests/daemon/table_follower_test.cpp
@@ -285,6 +285,19 @@
   EXPECT_EQ(Rows.count("d"), 1U);
 }
 
+// Guards against a read of the whole table by each host that still waited for
+// changes of the era before.
+TEST_F(TableFollowerEraTest, setReadMode_peersSentNewEraEarlier_readsNothing) {
+  WholeReadDelay = 200ms;
+  KnownVersion = {2, 901};
+  // The store answers the call that waits.
+  Store.returnFromVersion(850);
+  while (Store.put("t", "c", "after") < 901)
+    continue;
+  run(2s);
+  EXPECT_EQ(TableReads, 1U);
+}
+
 TEST_F(TableFollowerEraTest, setReadMode_untilWholeTableIsRead_keepsOldRows) {
   WholeReadDelay = 5s;
   restoreAndWrite();
