--- a/soak/soak.cpp
+++ b/soak/soak.cpp
@@ -17,6 +17,7 @@
 
 constexpr const char *ReadService = "records";
 /// Service whose only server answers without end.
+constexpr std::size_t ReadServers = 4;
 constexpr const char *EndlessService = "endless";
 constexpr std::size_t MaxBodyBytes = 64U << 20U;
 constexpr unsigned FirstPort = 18080;
@@ -27,13 +28,15 @@
 } // namespace
 
 Soak::Soak(SoakOptions RunOptions)
-    : Options(std::move(RunOptions)), Random(Options.Seed) {
+    : Options(std::move(RunOptions)), Random(Options.Seed),
+      Retries(Options.Retries) {
   std::filesystem::create_directories(Options.Folder);
   StoreAddress = allocateAddress();
+  Store.nameEra(1);
   if (!Store.listen(StoreAddress))
     throw std::runtime_error("cannot listen on the store address " +
                              StoreAddress);
-  for (unsigned Count = 0; Count < 4; ++Count)
+  for (std::size_t Count = 0; Count < ReadServers; ++Count)
     addServer(ReadService);
   for (unsigned Count = 0; Count < 3; ++Count) {
     addServer("ledger");
@@ -81,9 +84,10 @@
 
 void Soak::recordDisturbance(const std::string &Description,
                              std::chrono::milliseconds Length,
-                             std::optional<std::size_t> Host, bool Planned) {
+                             std::optional<std::size_t> Host,
+                             DisturbanceKind Kind) {
   const SoakTime Now = std::chrono::steady_clock::now();
-  Checker.addDisturbance({Description, Now, Now + Length, Host, Planned});
+  Checker.addDisturbance({Description, Now, Now + Length, Host, Kind});
   printEvent(fmt::format("{} for {} ms{}", Description, Length.count(),
                          Host ? fmt::format(" at host {}", *Host) : ""));
 }
@@ -95,6 +99,8 @@
   Server->OwnAddress = allocateAddress();
   Server->ProxyAddress = allocateAddress();
   Server->Proxy = std::make_unique<FaultProxy>(Context, Server->OwnAddress);
+  Server->Proxy->copyBlocks(
+      [this](std::string_view Block) { return Copies.drawDelay(Block); });
   if (!Server->Proxy->listen(Server->ProxyAddress))
     throw std::runtime_error("cannot listen on server proxy address " +
                              Server->ProxyAddress);
@@ -111,7 +117,11 @@
             Checker.onExecutionStarted(Event);
           },
           [this](const ServerEvent &Event) { Checker.onArrived(Event); },
-          [this](const ServerEvent &Event) { Checker.onAnswerSent(Event); }});
+          [this](const ServerEvent &Event) { Checker.onAnswerSent(Event); },
+          [this](const ServerEvent &Event) {
+            Retries.onArrival(std::chrono::steady_clock::now(), Event.Service,
+                              Event.RequestId);
+          }});
   Checker.wishes().onRestart(Server.Id);
   if (!Server.RunningServer->listen(Server.OwnAddress))
     throw std::runtime_error("cannot listen on server address " +
@@ -132,7 +142,7 @@
                        {{"state", State},
                         {"sequence", Server.Incarnation},
                         {"warmupLeft", "0ms"}}}};
-  Store.put("servers", Server.Id, Entry.dump());
+  writeServerRow(Server.Id, Entry.dump());
 }
 
 void Soak::publishConfiguration(const std::string &NewOnceService) {
@@ -165,7 +175,8 @@
        {{"headerTimeout", "3000ms"},
         {"idleTimeout", "15000ms"},
         {"maxBodyBytes", MaxBodyBytes}}}};
-  Store.put("op", "config", Configuration.dump());
+  ConfigurationRow = Configuration.dump();
+  Store.put("op", "config", ConfigurationRow);
 }
 
 void Soak::addHost(std::size_t Index) {
@@ -183,18 +194,25 @@
   if (Index == 0)
     PeerSeeds.clear();
   PeerSeeds.push_back(allocateAddress());
+  // With fewer seeds, the others must be found.
+  constexpr std::size_t FewSeeds = 3;
+  std::vector<std::string> ToldSeeds = PeerSeeds;
+  if (Options.RetryTrouble)
+    ToldSeeds.resize(std::min(FewSeeds, ToldSeeds.size()));
   std::ofstream File(Path);
   File << fmt::format(
       "[host]\nname = \"{}\"\ndata_centre = \"here\"\n{}[listen]\n"
       "callers = \"{}\"\npeers = \"{}\"\nadmin = \"{}\"\n[platform]\n"
       "address = \"{}\"\n[peers]\nseeds = [\"{}\"]\n[direct]\n"
-      "directory = \"{}\"\nreadiness = \"{}\"\nstop_grace = \"4s\"\n",
+      "directory = \"{}\"\nreadiness = \"{}\"\nstop_grace = \"4s\"\n"
+      "retry_share = {}\nretry_slack = {}\nretry_window = \"{}s\"\n",
       Name,
       Options.TellMemory ? fmt::format("memory_mb = {}\n", Options.MemoryMb)
                          : "",
       Host.CallerAddress, PeerSeeds.back(), allocateAddress(),
-      StoreProxyAddress, fmt::join(PeerSeeds, "\", \""), allocateAddress(),
-      allocateAddress());
+      StoreProxyAddress, fmt::join(ToldSeeds, "\", \""), allocateAddress(),
+      allocateAddress(), Options.Retries.Share, Options.Retries.Slack,
+      Options.Retries.Window.count());
   File.close();
   Host.Process = std::make_unique<HostProcess>(
       Options.Program, Path, Options.Folder + "/" + Name + ".log");
@@ -208,7 +226,10 @@
   watchProcesses();
   scheduleFaults();
   scheduleWishes();
+  scheduleDrills();
+  scheduleRestarts();
   scheduleEndlessPeers();
+  scheduleRetryTrouble();
   // The last change of the configuration. Every host must apply it when
   // RecoveredBeforeEnd is left of the run.
   runAfter(std::chrono::duration_cast<std::chrono::milliseconds>(
@@ -218,6 +239,8 @@
       std::chrono::duration_cast<std::chrono::milliseconds>(Options.Length),
       [this] { IsSending = false; });
   Context.run_until(End + PromiseChecker::RouteTimeout + 1s);
+  for (const std::string &Violation : Retries.findViolations())
+    Checker.addViolation(Violation);
   return Checker.findViolations(End - RecoveredBeforeEnd, Hosts.size(),
                                 OnceService);
 }
@@ -240,6 +263,8 @@
   Request.Idempotent = drawIndex(2) == 0;
   Request.Host = HostIndex;
   Request.SentAt = std::chrono::steady_clock::now();
+  Retries.onRequest(Request.SentAt,
+                    Request.Idempotent ? ReadService : OnceService);
   HttpCall Call;
   Call.Address = Hosts[HostIndex].CallerAddress;
   Call.ConnectTimeout = 1s;
@@ -271,7 +296,7 @@
     if (Host.Process->running() || !Host.RestartWhenEnded)
       continue;
     Host.RestartWhenEnded = false;
-    recordDisturbance("restart", 2000ms, Index);
+    recordDisturbance("restart", 2000ms, Index, DisturbanceKind::Process);
     runAfter(drawDuration(100, 1200), [&Host] {
       Host.Process->start();
       Host.RestartWhenEnded = true;
@@ -334,24 +359,34 @@
     // The servers for reads come first; one of them is never asked, so that
     // requests can be served.
     const auto Index = static_cast<std::size_t>(Draw(0, 2));
-    const long Kind = Draw(0, 3);
-    const double Limit = static_cast<double>(Draw(5, 40)) / 10;
+    const auto Kind = static_cast<WishKind>(Draw(0, 3));
+    const double Limit = static_cast<double>(Draw(0, 400)) / 100;
     runAfter(Start, [this, Index, Kind, Limit, Length] {
       announceWish(*Servers[Index], Kind, Limit, Length);
     });
   }
+  // All servers for reads at once, so that callers press on the limits, and for
+  // longer than hosts have to learn them.
+  const auto Start = std::chrono::milliseconds(2000 + Draw(0, Period / 3));
+  const auto Length = std::chrono::milliseconds(Draw(5000, 8000));
+  for (std::size_t Index = 0; Index < ReadServers; ++Index) {
+    const double Limit = static_cast<double>(Draw(0, 1000)) / 100;
+    runAfter(Start, [this, Index, Limit, Length] {
+      announceWish(*Servers[Index], WishKind::Limit, Limit, Length);
+    });
+  }
 }
 
-void Soak::announceWish(ServerInstance &Server, long Kind, double Limit,
+void Soak::announceWish(ServerInstance &Server, WishKind Kind, double Limit,
                         std::chrono::milliseconds Length) {
   if (!Server.RunningServer)
     return;
   AnnouncedWishes Wishes;
-  if (Kind == 0)
+  if (Kind == WishKind::Leave)
     Wishes.Leaving = true;
-  else if (Kind == 1)
+  else if (Kind == WishKind::Pause)
     Wishes.Pause = Length;
-  else if (Kind == 2)
+  else if (Kind == WishKind::Limit)
     Wishes.Limit = fmt::format("{}", Limit);
   else
     Wishes.Limit = "-1e999,many";
@@ -359,15 +394,18 @@
                          Server.Id, Wishes.Leaving, Wishes.Pause.count(),
                          Wishes.Limit));
   Server.RunningServer->announce(Wishes);
-  Checker.wishes().setLimit(Server.Id, Kind == 2 ? Limit : 0);
+  Checker.wishes().setLimit(std::chrono::steady_clock::now(), Server.Id,
+                            Kind == WishKind::Limit ? std::optional(Limit)
+                                                    : std::nullopt);
   // A server that leaves does not change its mind.
-  if (Kind == 0)
+  if (Kind == WishKind::Leave)
     return;
   runAfter(Length, [this, &Server] {
     if (!Server.RunningServer)
       return;
     Server.RunningServer->announce({});
-    Checker.wishes().setLimit(Server.Id, 0);
+    Checker.wishes().setLimit(std::chrono::steady_clock::now(), Server.Id,
+                              std::nullopt);
   });
 }
 
--- a/soak/soak.h
+++ b/soak/soak.h
@@ -8,10 +8,14 @@
 #include "soak/fault_proxy.h"
 #include "soak/host_process.h"
 #include "soak/promises.h"
+#include "soak/refusal_copies.h"
+#include "soak/retry_checker.h"
 #include "soak/soak_server.h"
 #include "tests/standins/store_standin.h"
 
+#include <map>
 #include <memory>
+#include <optional>
 #include <random>
 #include <string>
 #include <vector>
@@ -37,6 +41,11 @@
   bool TellMemory = true;
   /// Connections to each host on which callers send without end.
   std::size_t EndlessCallers = 3;
+  /// Limits on retries that the hosts are told.
+  SoakRetryLimits Retries;
+  /// Whether servers fail and many hosts restart or pause at once, so that all
+  /// retries are used up. Hosts know the addresses of three hosts only.
+  bool RetryTrouble = false;
   /// Path of `mimosacartd`.
   std::string Program;
   /// Folder for the hosts' settings files and logs.
@@ -53,6 +62,9 @@
   std::vector<std::string> run();
   /// Results of the run.
   const PromiseChecker &checker() const { return Checker; }
+  /// Number of refusals that were sent once more.
+  std::size_t refusalCopies() const { return Copies.count(); }
+  const RetryChecker &retries() const { return Retries; }
   /// Largest memory of a host process, in megabytes.
   std::size_t peakMemoryMb() const { return PeakMemoryMb; }
 
@@ -65,6 +77,8 @@
     std::string ProxyAddress;
     /// Incremented at every start.
     std::uint64_t Incarnation = 0;
+    /// The store names it as draining, or has dropped it.
+    bool IsLeaving = false;
     /// Null while the server is crashed.
     std::unique_ptr<SoakServer> RunningServer;
     std::unique_ptr<FaultProxy> Proxy;
@@ -100,8 +114,34 @@
   void injectFault();
   /// Schedules servers that name a limit, want a pause or leave.
   void scheduleWishes();
-  void announceWish(ServerInstance &Server, long Kind, double Limit,
+  /// Schedules drills of the store.
+  void scheduleDrills();
+  /// The store is away for \p Away and comes back from a copy of \p Age.
+  void performDrill(std::chrono::milliseconds Away,
+                    std::chrono::milliseconds Age, std::uint64_t RegisterSeed);
+  /// Writes what the operator and the servers wrote before, the servers after
+  /// delays that \p RegisterSeed decides.
+  void writeRowsAgain(std::uint64_t RegisterSeed);
+  void writeServerRowAgain(const std::string &Id);
+  void writeServerRow(const std::string &Id, const std::string &Value);
+  void removeServerRow(const std::string &Id);
+  /// Schedules servers that start again under new ids.
+  void scheduleRestarts();
+  void restartOnceServers(std::chrono::milliseconds OldEntryTime);
+  void restartWhenIdle(ServerInstance &Server,
+                       std::chrono::milliseconds OldEntryTime);
+  enum class WishKind : std::uint8_t { Leave, Pause, Limit, UnreadableLimit };
+  void announceWish(ServerInstance &Server, WishKind Kind, double Limit,
                     std::chrono::milliseconds Length);
+  /// Schedules trouble that makes hosts use up their retries.
+  void scheduleRetryTrouble();
+  void startRetryEpisode();
+  void troubleServers(ServerTrouble Kind);
+  /// Suspends a share of the hosts for a while.
+  void pauseHerd(double Share);
+  /// Sends \p Signal to a share of the hosts and returns their indices.
+  std::vector<std::size_t> signalHerd(int Signal, double Share,
+                                      std::chrono::milliseconds Length);
 
   void killHost();
   void pauseHost();
@@ -124,7 +164,7 @@
   /// affects all hosts.
   void recordDisturbance(const std::string &Description,
                          std::chrono::milliseconds Length,
-                         std::optional<std::size_t> Host, bool Planned = false);
+                         std::optional<std::size_t> Host, DisturbanceKind Kind);
   /// Draws an index below \p Count.
   std::size_t drawIndex(std::size_t Count);
   /// Draws a duration from \p MinMs to \p MaxMs, both included.
@@ -132,15 +172,22 @@
 
   const SoakOptions Options;
   std::mt19937_64 Random;
+  RefusalCopies Copies{Options.Seed};
   asio::io_context Context;
   StoreStandin Store{Context};
   HttpClient CallerClient{Context, 1U << 20U};
   PromiseChecker Checker;
+  RetryChecker Retries;
+  std::mt19937_64 RetryRandom;
   std::string StoreAddress;
   std::vector<std::unique_ptr<ServerInstance>> Servers;
   std::vector<EntryHost> Hosts;
   /// Service that the current configuration routes non-idempotent requests to.
   std::string OnceService = "ledger";
+  /// What each server last wrote to its row; no value if that was removed.
+  std::map<std::string, std::optional<std::string>> ServerRows;
+  /// What the operator last wrote.
+  std::string ConfigurationRow;
   unsigned LastAddressNumber = 0;
   unsigned LastServerNumber = 0;
   unsigned LastRequestNumber = 0;
