--- a/soak/main.cpp
+++ b/soak/main.cpp
@@ -51,8 +51,7 @@
     fmt::print("seed {}: {} requests, {} served, {} at limited servers, {} "
                "pauses, {} answers of leaving servers, {} refusals sent twice, "
                "{} repeats, at most {:.2f} of the limit, peak of {} MB, {} "
-               "promises broken
-",
+               "promises broken\n",
                Seed, Checker.requestCount(), Checker.servedCount(),
                Checker.wishes().limitedArrivals(), Checker.wishes().pauses(),
                Checker.wishes().leavingAnswers(), Run.refusalCopies(),
--- a/soak/retry_trouble.cpp
+++ b/soak/retry_trouble.cpp
@@ -53,7 +53,8 @@
       runAfter(Start, [this, Share] { pauseHerd(Share); });
   }
   if (Draw(0, 2) == 0) {
-    recordDisturbance("store away", 5000ms, std::nullopt);
+    recordDisturbance("store away", 5000ms, std::nullopt,
+                      DisturbanceKind::Store);
     Store.setMood(StoreMood::Silent);
     runAfter(5000ms, [this] { Store.setMood(StoreMood::Sound); });
   }
@@ -63,7 +64,7 @@
   if (Kind != ServerTrouble::None)
     recordDisturbance(Kind == ServerTrouble::Breaks ? "all servers break"
                                                     : "all servers refuse",
-                      EpisodeLength, std::nullopt);
+                      EpisodeLength, std::nullopt, DisturbanceKind::Server);
   for (const auto &Server : Servers)
     if (Server->RunningServer)
       Server->RunningServer->setTrouble(Kind);
@@ -91,7 +92,8 @@
   printEvent(fmt::format("{} of {} hosts", Description, Order.size()));
   const SoakTime Now = std::chrono::steady_clock::now();
   for (const std::size_t Index : Order) {
-    Checker.addDisturbance({Description, Now, Now + Length, Index, false});
+    Checker.addDisturbance(
+        {Description, Now, Now + Length, Index, DisturbanceKind::Process});
     Hosts[Index].Process->signal(Signal);
   }
   return Order;
--- a/soak/soak_drill.cpp
+++ b/soak/soak_drill.cpp
@@ -56,7 +56,7 @@
                         std::uint64_t RegisterSeed) {
   recordDisturbance(fmt::format("store drill, copy of {} ms", Age.count()),
                     Away + std::chrono::milliseconds(MaxRegisterMs),
-                    std::nullopt);
+                    std::nullopt, DisturbanceKind::Store);
   Store.goAway();
   runAfter(Away, [this, Age, RegisterSeed] {
     Store.returnFromCopy(Age);
