Send the request of RefusalCopyHostTest once retries are allowed

The test now waits for 3.3 s in place of 0.3 s after the host is ready; what it checks is as before.

--- a/tests/daemon/refusal_copy_host_test.cpp
+++ b/tests/daemon/refusal_copy_host_test.cpp
@@ -152,7 +152,8 @@
                    50ms)
               .starts_with("HTTP/1.1 200"))
         break;
-    run(300ms);
+    // A new fleet sends no retries in its first 3 s.
+    run(3300ms);
   }
 
   /// Sends the once-only request and returns its status line.
