--- a/tests/platform/http_codec_test.cpp
+++ b/tests/platform/http_codec_test.cpp
@@ -97,6 +97,27 @@
   EXPECT_TRUE(readServerAnswer(HttpResponse{421, {}, ""}).Answer.WrongServer);
 }
 
+// Guards against a refusal of ours for work that runs: bytes without an id that
+// come late may belong to an earlier call on the connection.
+TEST(HttpCodecTest,
+     readServerAnswer_refusalWithoutIdAfterOtherCalls_isNoProof) {
+  const ConnectionUse First{1, 0};
+  const ConnectionUse Later{1, 1};
+  const std::vector<HeaderField> Refused = {{"X-Not-Executed", "1"}};
+  const std::vector<HeaderField> RefusedWithId = {{"X-Not-Executed", "1"},
+                                                  {"X-Request-Id", "a"}};
+  const auto Read = [](unsigned Status, const std::vector<HeaderField> &Headers,
+                       ConnectionUse Use) {
+    return readServerAnswer(HttpResponse{Status, Headers, "", Use}).Answer;
+  };
+  EXPECT_FALSE(Read(503, Refused, Later).NotRun);
+  EXPECT_FALSE(Read(421, {}, Later).WrongServer);
+  EXPECT_TRUE(Read(503, Refused, First).NotRun);
+  EXPECT_TRUE(Read(421, {}, First).WrongServer);
+  EXPECT_TRUE(Read(503, RefusedWithId, Later).NotRun);
+  EXPECT_TRUE(Read(421, RefusedWithId, Later).WrongServer);
+}
+
 ServerWishes readWishesOf(unsigned Status, std::vector<HeaderField> Headers) {
   return readServerAnswer(HttpResponse{Status, std::move(Headers), ""})
       .Answer.Wishes;
