Take no part of the retry limit before the other hosts are known

What callers would have seen: more repeats at servers than allowed, after hosts restarted while they were cut off from each other.

Cause: a host that had read the store's list of hosts took its share as if it knew the fleet, but only the first few hosts by rank are listed; and a restarted host that had just met its first peer counted only those that this peer had named.

Change: a host takes no part of the slack until 3 s after it has met another host, or has read a list without others and its settings name none.

Not covered: newcomers in a part of the network that has been cut off for over two minutes (docs/incidents/retries-over-the-budget.md).

--- a/direct/fleet_gossip.h
+++ b/direct/fleet_gossip.h
@@ -70,7 +70,7 @@
   std::size_t hosts() const;
   /// Number of hosts that may be at work and so share limits of the fleet, the
   /// unreachable ones included; 0 if not known. See FleetSize::hosts().
-  std::size_t sharingHosts() const { return Size.hosts(); }
+  std::size_t sharingHosts() const { return Size.hosts(Now); }
 
   /// This host's position among all hosts in an order that depends on \p Key.
   HostPosition position(const std::string &Key) const;
--- a/direct/fleet_size.cpp
+++ b/direct/fleet_size.cpp
@@ -11,6 +11,8 @@
 /// How long a host counts that has announced its end. Longer than a window of
 /// the limits.
 constexpr Duration LeftLifetime = std::chrono::minutes(1);
+/// Time in which the first peer of a process and others tell it of all hosts.
+constexpr Duration DiscoveryTime = std::chrono::seconds(3);
 
 bool isReachable(const MemberRecord &Member) {
   return Member.Status <= MemberStatus::Suspect;
@@ -27,7 +29,7 @@
 
 FleetSize::FleetSize(std::string SelfAddress,
                      const std::vector<std::string> &Seeds)
-    : Self(std::move(SelfAddress)) {
+    : Self(std::move(SelfAddress)), HasSeeds(!Seeds.empty()) {
   for (const std::string &Address : Seeds)
     add(Address, Instant::max());
 }
@@ -52,7 +54,8 @@
       Found = &Member;
   }
   for (const auto &[Address, Member] : Latest) {
-    Known = true;
+    if (CompleteAt == Instant::max())
+      CompleteAt = Now + DiscoveryTime;
     if (Member->Status == MemberStatus::Left)
       ForgetAt[Address] = Now - Member->Age + LeftLifetime;
     else
@@ -69,9 +72,11 @@
 
 void FleetSize::onListed(Instant Now,
                          const std::vector<std::string> &Addresses) {
-  Known = true;
   for (const std::string &Address : Addresses)
     add(Address, Now + UnreachableLifetime);
+  // A fleet of one host.
+  if (!HasSeeds && ForgetAt.empty())
+    CompleteAt = std::min(CompleteAt, Now);
 }
 
 void FleetSize::expire(Instant Now) {
--- a/direct/fleet_size.h
+++ b/direct/fleet_size.h
@@ -33,15 +33,20 @@
   /// Drops the hosts that have been out of reach for long.
   void expire(Instant Now);
 
-  /// Number of hosts that may be at work, this one included. 0 as long as this
-  /// host has neither learned of another one nor read the store's list.
-  std::size_t hosts() const { return Known ? ForgetAt.size() + 1 : 0; }
+  /// Number of hosts that may be at work, this one included. 0 as long as it is
+  /// not known: the store's list names only some hosts, and the first peers of
+  /// a new process do not tell it of all others at once.
+  std::size_t hosts(Instant Now) const {
+    return Now >= CompleteAt ? ForgetAt.size() + 1 : 0;
+  }
 
 private:
   void add(const std::string &Address, Instant Until);
 
   const std::string Self;
-  bool Known = false;
+  const bool HasSeeds;
+  /// When the count is taken to be complete.
+  Instant CompleteAt = Instant::max();
   /// Other hosts by their peer addresses.
   std::map<std::string, Instant> ForgetAt;
 };
