Say in comments what the tests of the retry budget guard against

The doc comment of RetryBudget now names the transit time on which the sum rests, as the review of the incident's mends asked. Comments only.

--- a/direct/retry_budget.h
+++ b/direct/retry_budget.h
@@ -26,8 +26,9 @@
 ///
 /// Hosts share the limits without communication: each earns retries from its
 /// own requests and takes an equal part of the slack. What all hosts may send
-/// adds up to no more than the limits as long as no host assumes fewer hosts
-/// than there are, even if any of them restart at any time.
+/// adds up to no more than the limits even if any hosts restart at any time, as
+/// long as no host assumes fewer hosts than there are and each retry arrives
+/// within a fifth of the window.
 class RetryBudget {
 public:
   /// \p Start is the start of this process.
--- a/tests/direct/request_flow_retry_test.cpp
+++ b/tests/direct/request_flow_retry_test.cpp
@@ -1,6 +1,6 @@
 /// \file
-/// Which sends RequestFlow takes from the budget of retries. In an incident a
-/// service got more repeats than its limit allows.
+/// Which sends RequestFlow takes from the budget of retries. Guards against a
+/// way in which a request reaches a server once more without being counted.
 #include "tests/direct/request_flow_fixture.h"
 
 namespace mimosacart {
--- a/tests/direct/retry_budget_test.cpp
+++ b/tests/direct/retry_budget_test.cpp
@@ -88,15 +88,14 @@
   FleetOfBudgets Fleet{GetParam().Hosts, {0.2, GetParam().Slack, 10s}};
 };
 
-// In an incident a service of 56 hosts got more repeats than its limit. What a
-// host may always send, whatever its share is, adds up.
+// Guards against retries that each host may send whatever its share is; at 300
+// hosts they add up to more than the limit.
 TEST_P(RetryBudgetFleetTest, trySpend_allHostsUseTheirShares_isWithinLimits) {
   Fleet.sendRetriesOfAll();
   EXPECT_LE(Fleet.retries(), Fleet.limit());
 }
 
-// The same incident: a process that has restarted does not know what the one
-// before it sent.
+// Guards against a restarted process that uses what the one before it has used.
 TEST_P(RetryBudgetFleetTest, trySpend_allHostsRestartAfterUse_isWithinLimits) {
   Fleet.sendRetriesOfAll();
   for (std::size_t Host = 0; Host < Fleet.size(); ++Host)
