Give listeners of tests addresses that no other process takes

Cause: the fixtures found a port free on 127.0.0.1, closed it and listened on it later. The same stood in StoreDrillTest, RefusalCopyHostTest and PeerTransportTest. No fault of the program.

The checks are as they were. Tests that listen on the first port that they can take are not concerned.

--- a/tests/daemon/hostile_peer_test.cpp
+++ b/tests/daemon/hostile_peer_test.cpp
@@ -4,6 +4,7 @@
 #include "daemon/direct_host_process.h"
 
 #include "net/asio.h"
+#include "tests/support/loopback_addresses.h"
 
 #include <boost/asio/read.hpp>
 #include <boost/asio/write.hpp>
@@ -64,21 +65,15 @@
     Settings.DataCentre = "here";
     Settings.PlatformAddress =
         "127.0.0.1:" + std::to_string(StoreAcceptor.local_endpoint().port());
-    Settings.CallerAddress = freeAddress();
-    Settings.PeerAddress = freeAddress();
-    Settings.AdminAddress = freeAddress();
+    Settings.CallerAddress = newLoopbackAddress();
+    Settings.PeerAddress = newLoopbackAddress();
+    Settings.AdminAddress = newLoopbackAddress();
     Settings.Direct.emplace();
-    Settings.Direct->DirectoryAddress = freeAddress();
-    Settings.Direct->ReadinessAddress = freeAddress();
+    Settings.Direct->DirectoryAddress = newLoopbackAddress();
+    Settings.Direct->ReadinessAddress = newLoopbackAddress();
     Host = std::make_unique<DirectHostProcess>(Context, Settings, [] {});
   }
 
-  /// An address that the system has found free.
-  std::string freeAddress() {
-    const tcp::acceptor Probe(Context, {asio::ip::address_v4::loopback(), 0});
-    return "127.0.0.1:" + std::to_string(Probe.local_endpoint().port());
-  }
-
   void acceptStoreCall() {
     StoreAcceptor.async_accept(
         [this](boost::system::error_code Error, tcp::socket Socket) {
--- a/tests/daemon/refusal_copy_host_test.cpp
+++ b/tests/daemon/refusal_copy_host_test.cpp
@@ -5,6 +5,7 @@
 
 #include "tests/standins/scripted_server.h"
 #include "tests/standins/store_standin.h"
+#include "tests/support/loopback_addresses.h"
 
 #include <boost/asio/read.hpp>
 
@@ -38,17 +39,17 @@
         Other(Context, [this](std::size_t Connection, const std::string &Head) {
           onRequest(Other, Connection, Head);
         }) {
-    const std::string StoreAddress = freeAddress();
+    const std::string StoreAddress = newLoopbackAddress();
     EXPECT_TRUE(Store.listen(StoreAddress));
     Settings.Name = HostName("host");
     Settings.DataCentre = "here";
     Settings.PlatformAddress = StoreAddress;
-    Settings.CallerAddress = freeAddress();
-    Settings.PeerAddress = freeAddress();
-    Settings.AdminAddress = freeAddress();
+    Settings.CallerAddress = newLoopbackAddress();
+    Settings.PeerAddress = newLoopbackAddress();
+    Settings.AdminAddress = newLoopbackAddress();
     Settings.Direct.emplace();
-    Settings.Direct->DirectoryAddress = freeAddress();
-    Settings.Direct->ReadinessAddress = freeAddress();
+    Settings.Direct->DirectoryAddress = newLoopbackAddress();
+    Settings.Direct->ReadinessAddress = newLoopbackAddress();
     Settings.Direct->IsFirstStart = true;
     registerServer("i-old", Server.address());
     registerServer("i-new", Server.address());
@@ -56,11 +57,6 @@
     Host = std::make_unique<DirectHostProcess>(Context, Settings, [] {});
   }
 
-  std::string freeAddress() {
-    const tcp::acceptor Probe(Context, {asio::ip::address_v4::loopback(), 0});
-    return "127.0.0.1:" + std::to_string(Probe.local_endpoint().port());
-  }
-
   void registerServer(const std::string &Id, const std::string &Address) {
     const Json Entry = {
         {"address", Address},
--- a/tests/daemon/store_drill_test.cpp
+++ b/tests/daemon/store_drill_test.cpp
@@ -5,6 +5,7 @@
 
 #include "net/asio.h"
 #include "tests/standins/store_standin.h"
+#include "tests/support/loopback_addresses.h"
 
 #include <gtest/gtest.h>
 
@@ -22,25 +23,19 @@
     HostSettings Settings;
     Settings.Name = HostName("host");
     Settings.DataCentre = "here";
-    Settings.PlatformAddress = freeAddress();
-    Settings.CallerAddress = freeAddress();
-    Settings.PeerAddress = freeAddress();
+    Settings.PlatformAddress = newLoopbackAddress();
+    Settings.CallerAddress = newLoopbackAddress();
+    Settings.PeerAddress = newLoopbackAddress();
     Settings.AdminAddress = AdminAddress;
     Settings.Direct.emplace();
-    Settings.Direct->DirectoryAddress = freeAddress();
-    Settings.Direct->ReadinessAddress = freeAddress();
+    Settings.Direct->DirectoryAddress = newLoopbackAddress();
+    Settings.Direct->ReadinessAddress = newLoopbackAddress();
     Store.nameEra(1);
     if (!Store.listen(Settings.PlatformAddress))
       throw std::runtime_error("the address of the store is taken");
     Host = std::make_unique<DirectHostProcess>(Context, Settings, [] {});
   }
 
-  /// An address that the system has found free.
-  std::string freeAddress() {
-    const tcp::acceptor Probe(Context, {asio::ip::address_v4::loopback(), 0});
-    return "127.0.0.1:" + std::to_string(Probe.local_endpoint().port());
-  }
-
   void run(Duration Time) {
     Context.restart();
     Context.run_for(Time);
@@ -101,7 +96,7 @@
   }
 
   asio::io_context Context;
-  const std::string AdminAddress = freeAddress();
+  const std::string AdminAddress = newLoopbackAddress();
   StoreStandin Store{Context};
   HttpClient Http{Context, 1U << 20U};
   std::unique_ptr<DirectHostProcess> Host;
--- a/tests/net/peer_transport_test.cpp
+++ b/tests/net/peer_transport_test.cpp
@@ -4,6 +4,7 @@
 #include "net/peer_transport.h"
 
 #include "net/asio.h"
+#include "tests/support/loopback_addresses.h"
 
 #include <gtest/gtest.h>
 
@@ -14,12 +15,6 @@
 
 class PeerTransportTest : public testing::Test {
 protected:
-  PeerTransportTest() {
-    // The system chooses a free port.
-    tcp::acceptor Probe(Context, {asio::ip::address_v4::loopback(), 0});
-    Address = "127.0.0.1:" + std::to_string(Probe.local_endpoint().port());
-  }
-
   std::unique_ptr<PeerTransport> makeReceiver() {
     auto Receiver = std::make_unique<PeerTransport>(
         Context,
@@ -33,7 +28,7 @@
   asio::io_context Context;
   const asio::executor_work_guard<asio::io_context::executor_type> Work =
       asio::make_work_guard(Context);
-  std::string Address;
+  const std::string Address = newLoopbackAddress();
   std::vector<std::string> Received;
   PeerTransport Sender{Context, [](std::string_view) {}};
 };
