--- a/tests/daemon/hostile_peer_test.cpp
+++ b/tests/daemon/hostile_peer_test.cpp
@@ -4,7 +4,7 @@
 #include "daemon/direct_host_process.h"
 
 #include "net/asio.h"
-#include "tests/support/loopback_addresses.h"
+#include "tests/daemon/direct_host_settings.h"
 
 #include <boost/asio/read.hpp>
 #include <boost/asio/write.hpp>
@@ -61,16 +61,8 @@
   HostilePeerTest()
       : StoreAcceptor(Context, {asio::ip::address_v4::loopback(), 0}) {
     acceptStoreCall();
-    Settings.Name = HostName("host");
-    Settings.DataCentre = "here";
     Settings.PlatformAddress =
         "127.0.0.1:" + std::to_string(StoreAcceptor.local_endpoint().port());
-    Settings.CallerAddress = newLoopbackAddress();
-    Settings.PeerAddress = newLoopbackAddress();
-    Settings.AdminAddress = newLoopbackAddress();
-    Settings.Direct.emplace();
-    Settings.Direct->DirectoryAddress = newLoopbackAddress();
-    Settings.Direct->ReadinessAddress = newLoopbackAddress();
     Host = std::make_unique<DirectHostProcess>(Context, Settings, [] {});
   }
 
@@ -135,7 +127,7 @@
                                            "Content-Length: 0\r\n\r\n"};
   std::size_t StoreCalls = 0;
   std::vector<tcp::socket> StoreSockets;
-  HostSettings Settings;
+  HostSettings Settings = makeDirectHostSettings();
   std::unique_ptr<DirectHostProcess> Host;
 };
 
--- a/tests/daemon/refusal_copy_host_test.cpp
+++ b/tests/daemon/refusal_copy_host_test.cpp
@@ -3,9 +3,9 @@
 /// that writes the copy of a refusal late.
 #include "daemon/direct_host_process.h"
 
+#include "tests/daemon/direct_host_settings.h"
 #include "tests/standins/scripted_server.h"
 #include "tests/standins/store_standin.h"
-#include "tests/support/loopback_addresses.h"
 
 #include <boost/asio/read.hpp>
 
@@ -39,17 +39,7 @@
         Other(Context, [this](std::size_t Connection, const std::string &Head) {
           onRequest(Other, Connection, Head);
         }) {
-    const std::string StoreAddress = newLoopbackAddress();
-    EXPECT_TRUE(Store.listen(StoreAddress));
-    Settings.Name = HostName("host");
-    Settings.DataCentre = "here";
-    Settings.PlatformAddress = StoreAddress;
-    Settings.CallerAddress = newLoopbackAddress();
-    Settings.PeerAddress = newLoopbackAddress();
-    Settings.AdminAddress = newLoopbackAddress();
-    Settings.Direct.emplace();
-    Settings.Direct->DirectoryAddress = newLoopbackAddress();
-    Settings.Direct->ReadinessAddress = newLoopbackAddress();
+    EXPECT_TRUE(Store.listen(Settings.PlatformAddress));
     Settings.Direct->IsFirstStart = true;
     registerServer("i-old", Server.address());
     registerServer("i-new", Server.address());
@@ -168,7 +158,7 @@
   /// The server with two entries, and one that joins later.
   ScriptedServer Server;
   ScriptedServer Other;
-  HostSettings Settings;
+  HostSettings Settings = makeDirectHostSettings();
   std::unique_ptr<DirectHostProcess> Host;
   bool ThirdServerJoins = false;
   std::size_t RefusedOn = 0;
--- a/tests/daemon/store_drill_test.cpp
+++ b/tests/daemon/store_drill_test.cpp
@@ -4,8 +4,8 @@
 #include "daemon/direct_host_process.h"
 
 #include "net/asio.h"
+#include "tests/daemon/direct_host_settings.h"
 #include "tests/standins/store_standin.h"
-#include "tests/support/loopback_addresses.h"
 
 #include <gtest/gtest.h>
 
@@ -20,16 +20,6 @@
 class StoreDrillTest : public testing::Test {
 protected:
   StoreDrillTest() {
-    HostSettings Settings;
-    Settings.Name = HostName("host");
-    Settings.DataCentre = "here";
-    Settings.PlatformAddress = newLoopbackAddress();
-    Settings.CallerAddress = newLoopbackAddress();
-    Settings.PeerAddress = newLoopbackAddress();
-    Settings.AdminAddress = AdminAddress;
-    Settings.Direct.emplace();
-    Settings.Direct->DirectoryAddress = newLoopbackAddress();
-    Settings.Direct->ReadinessAddress = newLoopbackAddress();
     Store.nameEra(1);
     if (!Store.listen(Settings.PlatformAddress))
       throw std::runtime_error("the address of the store is taken");
@@ -64,7 +54,7 @@
   double metric(const std::string &Name) {
     std::string Page;
     HttpCall Call;
-    Call.Address = AdminAddress;
+    Call.Address = Settings.AdminAddress;
     Call.Request = {"GET", "/metrics", {{"Host", "a"}}, "", ""};
     Call.Timeout = 1s;
     Http.call(std::move(Call), [this, &Page](const HttpResult &Result) {
@@ -96,7 +86,7 @@
   }
 
   asio::io_context Context;
-  const std::string AdminAddress = newLoopbackAddress();
+  const HostSettings Settings = makeDirectHostSettings();
   StoreStandin Store{Context};
   HttpClient Http{Context, 1U << 20U};
   std::unique_ptr<DirectHostProcess> Host;
