Count the end of a process with several ids once

Cause: ends were told apart by the server's id. A process whose earlier ids are still in the store has several, so that one end, or the reset of one link, counted once for each id.

Change: CrashDetector reports the address to which the call was sent; notices name it in place of the id.

The harness of the flow tests counts the same reports as before; only the hook's parameters changed.

--- a/direct/crash_detector.cpp
+++ b/direct/crash_detector.cpp
@@ -6,14 +6,15 @@
 namespace mimosacart {
 
 void CrashDetector::addSuspect(Instant Now, const ServerName &Server,
+                               const std::string &Address,
                                std::uint64_t Fingerprint) {
   std::vector<Suspect> &Calls = Suspects[Server];
   std::erase_if(Calls, [Now](const Suspect &Call) {
-    return Now - Call.EndedAt > SuspicionLifetime;
+    return Now - Call.Evidence.CallEndedAt > SuspicionLifetime;
   });
   if (Calls.size() == MaxSuspectsPerServer)
     Calls.erase(Calls.begin());
-  Calls.push_back({Fingerprint, Now, false});
+  Calls.push_back({{Fingerprint, Server, Address, Now}, false});
 }
 
 void CrashDetector::onAnswered(const ServerName &Server) {
@@ -42,12 +43,12 @@
   std::vector<Suspect> Remaining;
   std::set<std::uint64_t> Reported;
   for (const Suspect &Call : Calls) {
-    if (Now - Call.EndedAt > SuspicionLifetime)
+    if (Now - Call.Evidence.CallEndedAt > SuspicionLifetime)
       continue;
     if (Call.ServerAnswered && !IncludeAnswered)
       Remaining.push_back(Call);
-    else if (Reported.insert(Call.Fingerprint).second)
-      OnCrash(Now, Call.Fingerprint, Server);
+    else if (Reported.insert(Call.Evidence.Fingerprint).second)
+      OnCrash(Now, Call.Evidence);
   }
   if (!Remaining.empty())
     Suspects[Server] = std::move(Remaining);
--- a/direct/crash_detector.h
+++ b/direct/crash_detector.h
@@ -9,17 +9,27 @@
 #include <cstdint>
 #include <functional>
 #include <map>
+#include <string>
 #include <vector>
 
 namespace mimosacart {
 
+/// What speaks for a crash of a server by a request.
+struct CrashEvidence {
+  std::uint64_t Fingerprint = 0;
+  ServerName Server;
+  /// Where the call was sent. A process whose earlier ids are still in
+  /// discovery has one address.
+  std::string Address;
+  Instant CallEndedAt{};
+};
+
 /// Remembers calls without an answer for a short time and reports a crash for
 /// each of them once there is evidence that the server has ended.
 class CrashDetector {
 public:
-  /// Called once for each request that may have crashed \p Server.
-  using CrashHook = std::function<void(Instant, std::uint64_t Fingerprint,
-                                       const ServerName &Server)>;
+  /// Called once for each request that may have crashed a server.
+  using CrashHook = std::function<void(Instant, const CrashEvidence &)>;
 
   /// Time within which the end of a server is attributed to a call without an
   /// answer; long enough for the server's next entry in discovery.
@@ -31,7 +41,7 @@
 
   /// A call with \p Fingerprint ended without an answer, or was cancelled.
   void addSuspect(Instant Now, const ServerName &Server,
-                  std::uint64_t Fingerprint);
+                  const std::string &Address, std::uint64_t Fingerprint);
   /// The server answered a call or a probe, so that silence from now on says
   /// nothing about earlier calls.
   void onAnswered(const ServerName &Server);
@@ -43,8 +53,7 @@
 
 private:
   struct Suspect {
-    std::uint64_t Fingerprint = 0;
-    Instant EndedAt{};
+    CrashEvidence Evidence;
     /// The server has answered since.
     bool ServerAnswered = false;
   };
--- a/direct/direct_node.cpp
+++ b/direct/direct_node.cpp
@@ -67,11 +67,12 @@
   Result.Position = [this](const ServerName &Server) {
     return Fleet.position(Server.value());
   };
-  Result.CrashSeen = [this](Instant At, std::uint64_t Fingerprint,
-                            const ServerName &Server) {
-    Callbacks.Log("crash_seen", {{"fingerprint", std::to_string(Fingerprint)},
-                                 {"server", Server.value()}});
-    Fleet.addCrash(At, Fingerprint, Server);
+  Result.CrashSeen = [this](Instant At, const CrashEvidence &Evidence) {
+    Callbacks.Log("crash_seen",
+                  {{"fingerprint", std::to_string(Evidence.Fingerprint)},
+                   {"server", Evidence.Server.value()},
+                   {"address", Evidence.Address}});
+    Fleet.addCrash(At, Evidence.Fingerprint, ServerName(Evidence.Address));
   };
   Result.Log = Callbacks.Log;
   return Result;
--- a/direct/fleet_gossip.h
+++ b/direct/fleet_gossip.h
@@ -76,7 +76,8 @@
   HostPosition position(const std::string &Key) const;
 
   /// Records that a request with \p Fingerprint crashed \p Server, and sends
-  /// the notice to all hosts.
+  /// the notice to all hosts. \p Server is what identifies the process: its
+  /// address, since discovery may list several ids of one process.
   void addCrash(Instant Now, std::uint64_t Fingerprint,
                 const ServerName &Server);
   /// Number of unexpired crashes that requests with \p Fingerprint are
--- a/direct/request_flow.cpp
+++ b/direct/request_flow.cpp
@@ -112,6 +112,7 @@
   const CallId Id(++LastCall);
   OpenCall Call{Flow.Request.Id,
                 Server.Id,
+                Server.Address,
                 Flow.Request.Route.Name,
                 Flow.Request.Fingerprint,
                 Flow.Request.Service.HealthPath,
@@ -312,7 +313,7 @@
 }
 
 void RequestFlow::checkForCrash(Instant Now, const OpenCall &Call) {
-  Crashes.addSuspect(Now, Call.Server, Call.Fingerprint);
+  Crashes.addSuspect(Now, Call.Server, Call.Address, Call.Fingerprint);
   const DiscoveredServer *Server = Registry.find(Call.Server);
   if (Server == nullptr) {
     Crashes.onEnded(Now, Call.Server);
@@ -432,7 +433,7 @@
 void RequestFlow::cancelCall(Instant Now, CallId Id) {
   const OpenCall &Call = Calls.at(Id);
   ServerLoads.recordEnd(Call.Server);
-  Crashes.addSuspect(Now, Call.Server, Call.Fingerprint);
+  Crashes.addSuspect(Now, Call.Server, Call.Address, Call.Fingerprint);
   Calls.erase(Id);
   Callbacks.Cancel(Id);
 }
--- a/direct/request_flow.h
+++ b/direct/request_flow.h
@@ -96,8 +96,7 @@
     ServerConstraints::PositionHook Position;
     /// A server ended after a call with this fingerprint ended without an
     /// answer.
-    std::function<void(Instant, std::uint64_t Fingerprint, const ServerName &)>
-        CrashSeen;
+    CrashDetector::CrashHook CrashSeen;
     FlowLogHook Log;
   };
 
@@ -162,6 +161,7 @@
   struct OpenCall {
     RequestId Request;
     ServerName Server;
+    std::string Address;
     std::string Route;
     std::uint64_t Fingerprint = 0;
     std::string HealthPath;
--- /dev/null
+++ b/tests/direct/direct_node_crash_test.cpp
@@ -0,0 +1,176 @@
+/// \file
+/// Requests that are suspected of crashing servers, at one host.
+#include "direct/direct_node.h"
+
+#include <gtest/gtest.h>
+
+#include <algorithm>
+#include <map>
+#include <utility>
+
+namespace mimosacart {
+namespace {
+
+using namespace std::chrono_literals;
+
+/// A host with one route for once-only work and servers that a test plays.
+class DirectNodeCrashTest : public testing::Test {
+protected:
+  DirectNodeCrashTest() {
+    DirectNode::Hooks Callbacks;
+    Callbacks.Call = [this](const DirectCall &Call) {
+      OpenCalls.push_back(Call);
+    };
+    Callbacks.Cancel = [](CallId) {};
+    Callbacks.Probe = [this](const DirectProbe &Probe) {
+      OpenProbes.push_back(Probe);
+    };
+    Callbacks.Reply = [this](const FlowResult &Result) {
+      Results[Result.Id] = Result.Refused.Reason;
+    };
+    Callbacks.Send = [](const std::string &, const PeerMessage &) {};
+    Callbacks.ReadConfiguration = [](const TableRow &) {
+      return makeConfiguration();
+    };
+    Callbacks.ReadServer = [](const TableRow &Row) {
+      return makeServer(Row.Key, Row.Value);
+    };
+    Callbacks.SetReadMode = [](StoreTable, ReadMode) {};
+    Callbacks.ReadTable = [](StoreTable) {};
+    Callbacks.Configured = [](const RouteConfiguration &) {};
+    Callbacks.Log = [](const char *, const FlowFields &) {};
+    Callbacks.Records.Read = [] {};
+    Callbacks.Records.Write = [](std::uint64_t,
+                                 const std::vector<CrashNotice> &) {};
+    Callbacks.Records.Remove = [](std::uint64_t) {};
+    Node.emplace(Now, DirectNodeSettings{}, std::move(Callbacks));
+    Node->onRows(Now, StoreTable::Routes, {{"config", ++LastVersion}},
+                 LastVersion);
+  }
+
+  static std::variant<RouteConfigurationPtr, UnusableRow> makeConfiguration() {
+    RouteConfiguration Configuration;
+    Configuration.Version = 1;
+    HostRoute Route;
+    Route.Name = "r";
+    Route.Host = "a.example";
+    Route.Prefix = "/";
+    Route.Timeout = 2s;
+    Route.Objective = 500ms;
+    Route.MaxAttempts = 1;
+    Route.Services = {{ServiceName("records"), 1}};
+    Configuration.Routes.push_back(Route);
+    return std::make_shared<const RouteConfiguration>(Configuration);
+  }
+
+  static DiscoveredServer makeServer(const std::string &Id,
+                                     const std::string &Address) {
+    DiscoveredServer Server;
+    Server.Id = ServerName(Id);
+    Server.Service = ServiceName("records");
+    Server.Address = Address;
+    Server.Slots = 2;
+    return Server;
+  }
+
+  void addServer(const std::string &Id, const std::string &Address) {
+    const TableRow Row{Id, ++LastVersion, false, Address};
+    Node->onRows(Now, StoreTable::Servers, {Row}, LastVersion);
+  }
+
+  void removeServer(const std::string &Id) {
+    const TableRow Row{Id, ++LastVersion, true, ""};
+    Node->onRows(Now, StoreTable::Servers, {Row}, LastVersion);
+  }
+
+  /// Sends a request; all requests are alike.
+  RequestId send() {
+    CallerRequest Request;
+    Request.Method = "POST";
+    Request.Target = "/x";
+    const RequestId Id(++LastRequest);
+    Node->onRequest(Now, Id, "a.example",
+                    std::make_shared<const CallerRequest>(Request));
+    answerProbes(true);
+    return Id;
+  }
+
+  void answerProbes(bool Alive) {
+    for (const DirectProbe &Probe : std::exchange(OpenProbes, {})) {
+      ProbeResult Result;
+      Result.Answered = Alive;
+      Result.Healthy = Alive;
+      Result.Load = ServerLoad{0, 0, 2, 100};
+      Node->onProbeResult(Now, Probe.Id, Result);
+    }
+  }
+
+  /// Ends all open calls with a good answer.
+  void answerCalls() {
+    for (const DirectCall &Call : std::exchange(OpenCalls, {})) {
+      ServerCallResult Result{CallEnd::Answered, {}};
+      Result.Answer.Reply =
+          std::make_shared<const Answer>(Answer{200, {}, "done"});
+      Result.Answer.Signed = true;
+      Result.Answer.Load = ServerLoad{0, 0, 2, 100};
+      Node->onCallResult(Now, Call.Id, Result);
+    }
+  }
+
+  /// Breaks all open calls; their servers answer no probe.
+  void crashCalledServers() {
+    for (const DirectCall &Call : std::exchange(OpenCalls, {}))
+      Node->onCallResult(Now, Call.Id, {CallEnd::Broken, {}});
+    answerProbes(false);
+  }
+
+  /// Sends copies until each server has one open; then all servers end.
+  void crashEachServer(std::size_t Servers) {
+    for (std::size_t Copy = 0; Copy < 2 * Servers; ++Copy)
+      send();
+    crashCalledServers();
+  }
+
+  /// Advances the time; the servers answer all probes.
+  void advance(Duration Span) {
+    constexpr Duration Step = 100ms;
+    for (const Instant End = Now + Span; Now < End;) {
+      Now += Step;
+      Node->tick(Now);
+      answerProbes(true);
+    }
+  }
+
+  bool isRefused(RequestId Id) const {
+    const auto Found = Results.find(Id);
+    return Found != Results.end() &&
+           Found->second == RefusalReason::Quarantined;
+  }
+
+  Instant Now{1h};
+  std::optional<DirectNode> Node;
+  std::vector<DirectCall> OpenCalls;
+  std::vector<DirectProbe> OpenProbes;
+  std::map<RequestId, RefusalReason> Results;
+  std::uint64_t LastRequest = 0;
+  std::uint64_t LastVersion = 0;
+};
+
+TEST_F(DirectNodeCrashTest, onRequest_crashedThreeServers_isRefused) {
+  for (const char *Id : {"a", "b", "c"})
+    addServer(Id, Id);
+  crashEachServer(3);
+  EXPECT_TRUE(isRefused(send()));
+}
+
+// Guards against refusing all requests of a kind because one process ended
+// whose earlier ids are still in discovery.
+TEST_F(DirectNodeCrashTest, onRequest_processWithThreeIdsEnded_isPassedOn) {
+  for (const char *Id : {"a-1", "a-2", "a-3"})
+    addServer(Id, "a");
+  crashEachServer(3);
+  EXPECT_FALSE(isRefused(send()));
+}
+
+} // namespace
+} // namespace mimosacart
--- a/tests/direct/flow_harness.cpp
+++ b/tests/direct/flow_harness.cpp
@@ -53,8 +53,9 @@
   Result.CrashCount = [this](std::uint64_t Fingerprint) {
     return CrashCounts[Fingerprint];
   };
-  Result.CrashSeen = [this](Instant, std::uint64_t Fingerprint,
-                            const ServerName &) { ++CrashCounts[Fingerprint]; };
+  Result.CrashSeen = [this](Instant, const CrashEvidence &Evidence) {
+    ++CrashCounts[Evidence.Fingerprint];
+  };
   Result.Log = [](const char *, const FlowFields &) {};
   return Result;
 }
