Suspect no request that was served around the lost call

Cause: a copy that a server ran to its end excused only the crashes that were known at that moment. The thousand copies that were served just before the servers went, and those served between a lost call and the end of its server, counted for nothing; neither did an answer after its caller had left. Class: evidence that comes at another moment than its state is lost.

A request that crashes each server is never served. One that becomes harmful is counted from 3 s after its last success; within these 3 s the rule allows copies anyway. Answers are noted when they come, not when their request ends.

Evidence: three tests of DirectNodeCrashTest failed on the code before (run there) and pass now: onRequest_lostServersAmidServedCopies_isPassedOn, onRequest_copyServedBetweenCallAndEnd_isPassedOn, onCallResult_servedAfterCallerLeft_isReleased. The one that keeps the rule, onRequest_crashesLongAfterServedCopy_isRefused, passes before and after.

--- a/direct/crash_detector.cpp
+++ b/direct/crash_detector.cpp
@@ -25,6 +25,12 @@
     Call.ServerAnswered = true;
 }
 
+bool CrashDetector::wasServedAround(Instant At,
+                                    std::uint64_t Fingerprint) const {
+  const std::optional<Instant> ServedAt = Served.lastServed(Fingerprint);
+  return ServedAt && *ServedAt >= At - EarlierSuccess;
+}
+
 void CrashDetector::onSilent(Instant Now, const ServerName &Server) {
   report(Now, Server, false);
 }
@@ -45,6 +51,8 @@
   for (const Suspect &Call : Calls) {
     if (Now - Call.Evidence.CallEndedAt > SuspicionLifetime)
       continue;
+    if (wasServedAround(Call.Evidence.CallEndedAt, Call.Evidence.Fingerprint))
+      continue;
     if (Call.ServerAnswered && !IncludeAnswered)
       Remaining.push_back(Call);
     else if (Reported.insert(Call.Evidence.Fingerprint).second)
--- a/direct/crash_detector.h
+++ b/direct/crash_detector.h
@@ -5,6 +5,7 @@
 
 #include "core/ids.h"
 #include "core/time.h"
+#include "direct/served_requests.h"
 
 #include <cstdint>
 #include <functional>
@@ -34,6 +35,10 @@
   /// Time within which the end of a server is attributed to a call without an
   /// answer; long enough for the server's next entry in discovery.
   static constexpr Duration SuspicionLifetime = std::chrono::seconds(6);
+  /// A request that a server ran to its end this long before, or later, did not
+  /// crash the server of the call. Not longer than copies may be sent on after
+  /// the third crash: the request may crash servers from some moment on.
+  static constexpr Duration EarlierSuccess = std::chrono::seconds(3);
   /// Calls remembered for each server; the oldest are dropped first.
   static constexpr std::size_t MaxSuspectsPerServer = 64;
 
@@ -42,6 +47,13 @@
   /// A call with \p Fingerprint ended without an answer, or was cancelled.
   void addSuspect(Instant Now, const ServerName &Server,
                   const std::string &Address, std::uint64_t Fingerprint);
+  /// A server ran a request with \p Fingerprint to its end.
+  void onServed(Instant Now, std::uint64_t Fingerprint) {
+    Served.record(Now, Fingerprint);
+  }
+  /// Whether a server ran such a request to its end at \p At, shortly before or
+  /// later.
+  bool wasServedAround(Instant At, std::uint64_t Fingerprint) const;
   /// The server answered a call or a probe, so that silence from now on says
   /// nothing about earlier calls.
   void onAnswered(const ServerName &Server);
@@ -62,6 +74,7 @@
   void report(Instant Now, const ServerName &Server, bool IncludeAnswered);
 
   const CrashHook OnCrash;
+  ServedRequests Served;
   std::map<ServerName, std::vector<Suspect>> Suspects;
 };
 
--- a/direct/request_flow.cpp
+++ b/direct/request_flow.cpp
@@ -51,10 +51,6 @@
   chooseServer(Now, Flow);
 }
 
-bool RequestFlow::isQuarantined(const FlowState &Flow) const {
-  return Callbacks.CrashCount(Flow.Request.Fingerprint) >= Policy.MaxCrashes;
-}
-
 Duration RequestFlow::findBaseline(const FlowState &Flow) const {
   return Latencies.baseline(Flow.Request.Route.Name,
                             Flow.Request.Route.Objective);
@@ -198,6 +194,8 @@
   if (!Answer.WrongServer) {
     ServerLoads.recordLoad(Now, Call.Server, Answer.Load);
     const bool Proper = isSuccess(Answer.Reply->Status) && Answer.Signed;
+    if (Proper && !Answer.NotRun)
+      recordServed(Now, Call.Fingerprint);
     recordWishes(Now, Call.Server, Call.Incarnation, Answer.Wishes, Proper);
   }
   if (Answer.WrongServer)
@@ -268,8 +266,6 @@
   }
   Flow.MayHaveRun = true;
   if (isSuccess(Status) && Answer.Signed) {
-    if (Callbacks.CrashCount(Flow.Request.Fingerprint) > 0)
-      Callbacks.CrashesExcused(Flow.Request.Fingerprint);
     for (const CallId Slower : Flow.OpenCalls)
       if (Flow.Request.Route.Idempotent)
         ServerLoads.recordFailure(Now, Calls.at(Slower).Server,
@@ -312,19 +308,6 @@
   retryOrFinish(Now, Flow);
 }
 
-void RequestFlow::checkForCrash(Instant Now, const OpenCall &Call) {
-  Crashes.addSuspect(Now, Call.Server, Call.Address, Call.Fingerprint);
-  const DiscoveredServer *Server = Registry.find(Call.Server);
-  if (Server == nullptr) {
-    Crashes.onEnded(Now, Call.Server);
-    return;
-  }
-  if (Constraints.isQuiet(Now, Call.Server))
-    return;
-  // Idle connections may have gone silent by themselves.
-  startProbe(Call.HealthPath, *Server, true);
-}
-
 bool RequestFlow::canRetry(Instant Now, const FlowState &Flow) {
   const HostRoute &Route = Flow.Request.Route;
   if (Flow.MayHaveRun && !Route.Idempotent)
--- a/direct/request_flow.h
+++ b/direct/request_flow.h
@@ -225,6 +225,7 @@
                     CallEnd End);
   void recordResult(Instant Now, const OpenCall &Call,
                     const ServerCallResult &Result);
+  void recordServed(Instant Now, std::uint64_t Fingerprint);
   void recordWishes(Instant Now, const ServerName &Server,
                     std::uint64_t Incarnation, const ServerWishes &Wishes,
                     bool Proper);
--- a/tests/direct/direct_node_crash_test.cpp
+++ b/tests/direct/direct_node_crash_test.cpp
@@ -172,5 +172,67 @@
   EXPECT_FALSE(isRefused(send()));
 }
 
+// Guards against refusing a frequent request because many servers that ran
+// copies of it fell silent at once.
+TEST_F(DirectNodeCrashTest, onRequest_lostServersAmidServedCopies_isPassedOn) {
+  for (const char *Id : {"a", "b", "c", "d", "e", "f"})
+    addServer(Id, Id);
+  send();
+  answerCalls();
+  advance(2s);
+  crashEachServer(6);
+  EXPECT_FALSE(isRefused(send()));
+}
+
+// A request that was harmless may crash servers from some moment on.
+TEST_F(DirectNodeCrashTest, onRequest_crashesLongAfterServedCopy_isRefused) {
+  for (const char *Id : {"a", "b", "c"})
+    addServer(Id, Id);
+  send();
+  answerCalls();
+  advance(4s);
+  crashEachServer(3);
+  EXPECT_TRUE(isRefused(send()));
+}
+
+// Guards against blaming a request for the cancelled or lost call, if a copy
+// was served before the server ended.
+TEST_F(DirectNodeCrashTest, onRequest_copyServedBetweenCallAndEnd_isPassedOn) {
+  for (const char *Id : {"a", "b", "c"})
+    addServer(Id, Id);
+  for (unsigned Copy = 0; Copy < 6; ++Copy)
+    send();
+  for (const DirectCall &Call : std::exchange(OpenCalls, {}))
+    Node->onCallResult(Now, Call.Id, {CallEnd::TimedOut, {}});
+  answerProbes(true);
+  send();
+  answerCalls();
+  advance(1s);
+  for (const char *Id : {"a", "b", "c"})
+    removeServer(Id);
+  addServer("d", "d");
+  EXPECT_FALSE(isRefused(send()));
+}
+
+// Guards against throwing away an answer that comes after its caller has left.
+TEST_F(DirectNodeCrashTest, onCallResult_servedAfterCallerLeft_isReleased) {
+  for (const char *Id : {"a", "b", "c", "d"})
+    addServer(Id, Id);
+  const RequestId Left = send();
+  Node->onCallerGone(Now, Left);
+  const DirectCall Served = OpenCalls.front();
+  OpenCalls.clear();
+  for (unsigned Copy = 0; Copy < 7; ++Copy)
+    send();
+  std::erase_if(OpenCalls, [&Served](const DirectCall &Call) {
+    return Call.Server.Id == Served.Server.Id;
+  });
+  crashCalledServers();
+  ASSERT_TRUE(isRefused(send()));
+  OpenCalls = {Served};
+  answerCalls();
+  EXPECT_FALSE(isRefused(send()));
+}
+
 } // namespace
 } // namespace mimosacart
