--- a/direct/request_flow.h
+++ b/direct/request_flow.h
@@ -96,8 +96,7 @@
     ServerConstraints::PositionHook Position;
     /// A server ended after a call with this fingerprint ended without an
     /// answer.
-    std::function<void(Instant, std::uint64_t Fingerprint, const ServerName &)>
-        CrashSeen;
+    CrashDetector::CrashHook CrashSeen;
     FlowLogHook Log;
   };
 
@@ -162,6 +161,7 @@
   struct OpenCall {
     RequestId Request;
     ServerName Server;
+    std::string Address;
     std::string Route;
     std::uint64_t Fingerprint = 0;
     std::string HealthPath;
@@ -225,6 +225,7 @@
                     CallEnd End);
   void recordResult(Instant Now, const OpenCall &Call,
                     const ServerCallResult &Result);
+  void recordServed(Instant Now, std::uint64_t Fingerprint);
   void recordWishes(Instant Now, const ServerName &Server,
                     std::uint64_t Incarnation, const ServerWishes &Wishes,
                     bool Proper);
