Bind the handler of a timer to the start that it belongs to

What callers saw: a caller that left was not noticed, and its request ran to its deadline, if the last bytes of the request arrived together with the end of the time for reading it (a host that was paused or had no processor time). Operators: a host could follow a table of the store twice, with twice the calls, for as long as its read mode stayed.

Cause: an Asio timer reports success to a handler that was queued before cancel() or expires_after(). Such a handler of an HttpSession cancelled all operations of the stream, also the watch for the caller's leaving; one of a TableFollower went on following in the mode that it had just left.

Change: OneShotTimer. Its hook belongs to one start(); after cancel(), another start() or its destruction it is never called. All timers of net/ and daemon/ that are cancelled or started again use it, as do those of the host processes.

Looked at by reading: timeouts of beast::tcp_stream count their armings and are safe. SettingsWatcher (daemon/main.cpp) and the timers of the soak are never cancelled or started again while they run; the stand-in of the store looks its feed up; that of the servers checks Cancelled. The stale handler of an HttpSession cannot have closed a connection without an answer: it was queued before the request was handled, so that it ran before the first completion of the response's write, and no wait for the next request was open yet.

Failed before, pass now: HttpServerReadTimerTest.requestComplete_timerExpired_leavingIsNoticed and TableFollowerTest.setReadMode_pauseHasEndedMeanwhile_followsOnlyOnce (3 polls instead of 2). OneShotTimerTest is new (5 tests). daemon_tests (38) pass; of net_tests those of the server, the timer and the peer transport (35) were run.

--- a/daemon/configuration_watcher.cpp
+++ b/daemon/configuration_watcher.cpp
@@ -1,13 +1,14 @@
 #include "daemon/configuration_watcher.h"
 
 #include "net/asio.h"
+#include "net/one_shot_timer.h"
 #include "settings/configuration_file.h"
 
 namespace mimosacart {
 
 struct ConfigurationWatcher::Timer {
   explicit Timer(asio::io_context &Context) : Value(Context) {}
-  asio::steady_timer Value;
+  OneShotTimer Value;
 };
 
 ConfigurationWatcher::ConfigurationWatcher(asio::io_context &Context,
@@ -23,11 +24,7 @@
 void ConfigurationWatcher::start() { poll(); }
 
 void ConfigurationWatcher::schedulePoll() {
-  PollTimer->Value.expires_after(Interval);
-  PollTimer->Value.async_wait([this](boost::system::error_code Error) {
-    if (!Error)
-      poll();
-  });
+  PollTimer->Value.start(Interval, [this] { poll(); });
 }
 
 void ConfigurationWatcher::poll() {
--- a/daemon/direct_host_process.cpp
+++ b/daemon/direct_host_process.cpp
@@ -3,6 +3,7 @@
 #include "daemon/invalid_message_log.h"
 #include "daemon/text_page.h"
 #include "net/asio.h"
+#include "net/one_shot_timer.h"
 #include "platform/http_codec.h"
 #include "platform/row_codec.h"
 #include "wire/peer_codec.h"
@@ -109,9 +110,9 @@
 struct DirectHostProcess::Timers {
   explicit Timers(asio::io_context &Context)
       : Tick(Context), Discovery(Context), Stop(Context) {}
-  asio::steady_timer Tick;
-  asio::steady_timer Discovery;
-  asio::steady_timer Stop;
+  OneShotTimer Tick;
+  OneShotTimer Discovery;
+  OneShotTimer Stop;
 };
 
 DirectHostProcess::DirectHostProcess(asio::io_context &IoContext,
@@ -407,11 +408,7 @@
     return;
   TickTimerExpiry = NextTick;
   const Duration Wait = std::max(Duration::zero(), NextTick - now());
-  HostTimers->Tick.expires_after(Wait);
-  HostTimers->Tick.async_wait([this](boost::system::error_code Error) {
-    if (!Error)
-      onTickTimer();
-  });
+  HostTimers->Tick.start(Wait, [this] { onTickTimer(); });
 }
 
 void DirectHostProcess::onTickTimer() {
@@ -421,12 +418,10 @@
 }
 
 void DirectHostProcess::scheduleDiscovery(Duration Delay, unsigned Round) {
-  HostTimers->Discovery.expires_after(Delay);
-  HostTimers->Discovery.async_wait(
-      [this, Round](boost::system::error_code Error) {
-        if (!Error && !Core.stopping())
-          discoverPeers(Round);
-      });
+  HostTimers->Discovery.start(Delay, [this, Round] {
+    if (!Core.stopping())
+      discoverPeers(Round);
+  });
 }
 
 /// The seed addresses may be out of date, so hosts also find each other through
@@ -485,11 +480,7 @@
   const bool IsIdle =
       CallerEndpointStopped && CallerEndpoint.connections() == 0;
   if (!IsIdle && Elapsed < StopGrace - StopMargin) {
-    HostTimers->Stop.expires_after(StopCheckInterval);
-    HostTimers->Stop.async_wait([this](boost::system::error_code Error) {
-      if (!Error)
-        advanceStop();
-    });
+    HostTimers->Stop.start(StopCheckInterval, [this] { advanceStop(); });
     return;
   }
   Core.onEnd(now());
@@ -497,9 +488,7 @@
            {{"open_requests", std::to_string(Core.openRequests())},
             {"after_ms", std::to_string(wholeMilliseconds(Elapsed))}});
   Log.flush();
-  HostTimers->Stop.expires_after(ExitDelay);
-  HostTimers->Stop.async_wait(
-      [this](boost::system::error_code /*Error*/) { OnStopped(); });
+  HostTimers->Stop.start(ExitDelay, [this] { OnStopped(); });
 }
 
 } // namespace mimosacart
--- a/daemon/entry_host_process.cpp
+++ b/daemon/entry_host_process.cpp
@@ -2,6 +2,7 @@
 
 #include "daemon/invalid_message_log.h"
 #include "net/asio.h"
+#include "net/one_shot_timer.h"
 #include "wire/peer_codec.h"
 
 #include <boost/outcome/try.hpp>
@@ -82,7 +83,7 @@
 
 struct EntryHostProcess::Timer {
   explicit Timer(asio::io_context &Context) : Value(Context) {}
-  asio::steady_timer Value;
+  OneShotTimer Value;
 };
 
 EntryHostProcess::EntryHostProcess(asio::io_context &IoContext,
@@ -172,10 +173,7 @@
 }
 
 void EntryHostProcess::scheduleTick() {
-  TickTimer->Value.expires_after(TickInterval);
-  TickTimer->Value.async_wait([this](boost::system::error_code Error) {
-    if (Error)
-      return;
+  TickTimer->Value.start(TickInterval, [this] {
     Core.onTick(now());
     runActions();
     Log.flush();
@@ -325,9 +323,7 @@
   AdminEndpoint.stop();
   StopComplete = true;
   // The last answers and the leave message to the peers are still being sent.
-  TickTimer->Value.expires_after(ExitDelay);
-  TickTimer->Value.async_wait(
-      [this](boost::system::error_code /*Error*/) { OnStopped(); });
+  TickTimer->Value.start(ExitDelay, [this] { OnStopped(); });
 }
 
 } // namespace mimosacart
--- a/daemon/table_follower.cpp
+++ b/daemon/table_follower.cpp
@@ -1,6 +1,7 @@
 #include "daemon/table_follower.h"
 
 #include "net/asio.h"
+#include "net/one_shot_timer.h"
 
 #include <algorithm>
 #include <utility>
@@ -31,7 +32,7 @@
 
 struct TableFollower::Timer {
   explicit Timer(asio::io_context &Context) : Value(Context) {}
-  asio::steady_timer Value;
+  OneShotTimer Value;
 };
 
 TableFollower::TableFollower(asio::io_context &Context, StoreClient &Store,
@@ -225,12 +226,8 @@
 }
 
 void TableFollower::runAfter(Duration Pause, std::function<void()> Task) {
-  DelayTimer->Value.expires_after(Pause);
-  DelayTimer->Value.async_wait(
-      [this, Task = std::move(Task)](boost::system::error_code Error) {
-        if (!Error && !Stopped)
-          Task();
-      });
+  if (!Stopped)
+    DelayTimer->Value.start(Pause, std::move(Task));
 }
 
 } // namespace mimosacart
--- a/net/http_server.cpp
+++ b/net/http_server.cpp
@@ -33,7 +33,7 @@
   void closeIdleSessions();
 
   tcp::acceptor Acceptor;
-  asio::steady_timer AcceptRetry;
+  OneShotTimer AcceptRetry;
 };
 
 boost::outcome_v2::result<void, std::error_code>
@@ -86,11 +86,8 @@
 }
 
 void HttpServer::Impl::acceptLater() {
-  AcceptRetry.expires_after(AcceptRetryPause);
-  AcceptRetry.async_wait([Self = shared_from_this()](beast::error_code Error) {
-    if (!Error && !Self->Stopping)
-      Self->accept();
-  });
+  AcceptRetry.start(AcceptRetryPause,
+                    [Self = shared_from_this()] { Self->accept(); });
 }
 
 void HttpServer::Impl::stop() {
--- a/net/http_session.cpp
+++ b/net/http_session.cpp
@@ -61,9 +61,8 @@
 }
 
 void HttpSession::closeIfIdleAfter(Duration Wait) {
-  ReadTimer.expires_after(Wait);
-  ReadTimer.async_wait([Self = shared_from_this()](beast::error_code Error) {
-    if (!Error && Self->AwaitingRequest && !Self->hasUnreadBytes())
+  ReadTimer.start(Wait, [Self = shared_from_this()] {
+    if (!Self->hasUnreadBytes())
       Self->close();
   });
 }
@@ -110,10 +109,7 @@
   // A timer is used because the stream's own timeout would close the stream
   // before the refusal is sent.
   Stream.expires_never();
-  ReadTimer.expires_after(Server->Limits.ReadTimeout);
-  ReadTimer.async_wait([Self = shared_from_this()](beast::error_code Error) {
-    if (Error)
-      return;
+  ReadTimer.start(Server->Limits.ReadTimeout, [Self = shared_from_this()] {
     Self->ReadTimedOut = true;
     Self->Stream.cancel();
   });
--- a/net/http_session.h
+++ b/net/http_session.h
@@ -4,6 +4,7 @@
 
 #include "net/http_server.h"
 #include "net/message_reader.h"
+#include "net/one_shot_timer.h"
 
 #include <optional>
 #include <unordered_map>
@@ -91,7 +92,7 @@
   Payload OutgoingBody;
   std::function<void()> GoneHook;
   /// Limits waiting for a request and reading it.
-  asio::steady_timer ReadTimer;
+  OneShotTimer ReadTimer;
   bool ReadTimedOut = false;
   bool AwaitingRequest = true;
   bool HadRequest = false;
--- a/net/peer_transport.cpp
+++ b/net/peer_transport.cpp
@@ -1,6 +1,7 @@
 #include "net/peer_transport.h"
 
 #include "net/asio.h"
+#include "net/one_shot_timer.h"
 
 #include <cerrno>
 #include <chrono>
@@ -118,11 +119,9 @@
   void scheduleRetry() {
     if (std::exchange(RetryScheduled, true))
       return;
-    RetryTimer.expires_after(FirstConnectRetry);
-    RetryTimer.async_wait([this](boost::system::error_code Error) {
+    RetryTimer.start(FirstConnectRetry, [this] {
       RetryScheduled = false;
-      if (!Error)
-        sendWaitingMessages();
+      sendWaitingMessages();
     });
   }
 
@@ -236,7 +235,7 @@
   zmq::socket_t Inbound;
   std::unordered_map<std::string, OutboundPeer> Outbound;
   asio::posix::stream_descriptor Readable;
-  asio::steady_timer RetryTimer;
+  OneShotTimer RetryTimer;
   bool RetryScheduled = false;
   SteadyTime NextUnusedCheck{};
 };
--- a/tests/daemon/table_follower_test.cpp
+++ b/tests/daemon/table_follower_test.cpp
@@ -4,6 +4,8 @@
 
 #include <gtest/gtest.h>
 
+#include <thread>
+
 namespace mimosacart {
 namespace {
 
@@ -142,6 +144,27 @@
   EXPECT_EQ(Rows, (Table{{"a", "1"}}));
 }
 
+// Guards against a second series of calls to the store, which the pause of the
+// mode before started when it had ended but was not handled yet.
+TEST_F(TableFollowerTest, setReadMode_pauseHasEndedMeanwhile_followsOnlyOnce) {
+  Follower->readTable();
+  run(100ms);
+  Follower->setReadMode(ReadMode::Standby);
+  run(100ms);
+  Store.put("t", "b", "2");
+  run(50ms);
+  // Expired timers are handled in the order of their expiry.
+  asio::steady_timer Earlier(Context, 10ms);
+  Earlier.async_wait([this](boost::system::error_code) {
+    Follower->setReadMode(ReadMode::Active);
+  });
+  std::this_thread::sleep_for(300ms);
+  run(500ms);
+  EXPECT_EQ(Rows, (Table{{"a", "1"}, {"b", "2"}}));
+  EXPECT_EQ(Follower->calls().Fetches, 1U);
+  EXPECT_EQ(Follower->calls().Polls, 2U);
+}
+
 TEST_F(TableFollowerTest, setReadMode_none_sendsNoMoreCalls) {
   Follower->readTable();
   run(100ms);
