Tell newcomers of all hosts that may be at work, not of remembered members

Cause: a host told a newcomer of the hosts out of reach from its list of members, which drops dead hosts after two minutes, while the limit counts them for 30. A process that started in a part of the network cut off for longer counted the hosts of its part only. Also, a newcomer did not pass on what it was told, as it has no member records of such hosts. The tests' hosts kept dead members for 30 minutes, unlike the program.

Change: FleetSize keeps the last record of each host that it counts, and newcomers get these, with the age that makes them expire at the same time everywhere. The tests' fleet forgets members after two minutes.

Result: the parts of the slack add up to no more than it in these cases.

--- a/direct/fleet_gossip.cpp
+++ b/direct/fleet_gossip.cpp
@@ -319,11 +319,9 @@
 /// Returns the hosts that this one cannot reach, but that may be at work.
 std::vector<MemberRecord>
 FleetGossip::unreachableHosts(const MemberRecord &Newcomer) const {
-  std::vector<MemberRecord> Result = Members.recordsForPeers(Now);
-  std::erase_if(Result, [this, &Newcomer](const MemberRecord &Member) {
-    return Member.Status != MemberStatus::Dead ||
-           Member.PeerAddress == Newcomer.PeerAddress ||
-           PeerAddresses.contains(Member.PeerAddress);
+  std::vector<MemberRecord> Result = Size.unreachableHosts(Now, PeerAddresses);
+  std::erase_if(Result, [&Newcomer](const MemberRecord &Member) {
+    return Member.PeerAddress == Newcomer.PeerAddress;
   });
   Result.resize(std::min(Result.size(), MaxInitialUnreachable));
   return Result;
--- a/direct/fleet_size.cpp
+++ b/direct/fleet_size.cpp
@@ -34,12 +34,20 @@
     add(Address, Instant::max());
 }
 
-void FleetSize::add(const std::string &Address, Instant Until) {
+/// Returns the host at \p Address; null if that is this one.
+FleetSize::OtherHost *FleetSize::add(const std::string &Address,
+                                     Instant Until) {
   if (Address.empty() || Address == Self)
-    return;
-  const auto [Position, Added] = ForgetAt.try_emplace(Address, Until);
-  if (!Added)
-    Position->second = std::max(Position->second, Until);
+    return nullptr;
+  OtherHost &Result = Others[Address];
+  Result.ForgetAt = std::max(Result.ForgetAt, Until);
+  return &Result;
+}
+
+void FleetSize::add(const MemberRecord &Member, Instant Until) {
+  OtherHost *Added = add(Member.PeerAddress, Until);
+  if (Added != nullptr)
+    Added->Record = Member;
 }
 
 void FleetSize::onMembers(Instant Now,
@@ -57,9 +65,9 @@
     if (CompleteAt == Instant::max())
       CompleteAt = Now + DiscoveryTime;
     if (Member->Status == MemberStatus::Left)
-      ForgetAt[Address] = Now - Member->Age + LeftLifetime;
+      Others[Address] = {Now - Member->Age + LeftLifetime, *Member};
     else
-      add(Address, Now - Member->Age + UnreachableLifetime);
+      add(*Member, Now - Member->Age + UnreachableLifetime);
   }
 }
 
@@ -67,7 +75,7 @@
                               const std::vector<MemberRecord> &Members) {
   for (const MemberRecord &Member : Members)
     if (Member.Status == MemberStatus::Dead)
-      add(Member.PeerAddress, Now - Member.Age + UnreachableLifetime);
+      add(Member, Now - Member.Age + UnreachableLifetime);
 }
 
 void FleetSize::onListed(Instant Now,
@@ -75,13 +83,29 @@
   for (const std::string &Address : Addresses)
     add(Address, Now + UnreachableLifetime);
   // A fleet of one host.
-  if (!HasSeeds && ForgetAt.empty())
+  if (!HasSeeds && Others.empty())
     CompleteAt = std::min(CompleteAt, Now);
 }
 
+std::vector<MemberRecord>
+FleetSize::unreachableHosts(Instant Now,
+                            const std::set<std::string> &Reachable) const {
+  std::vector<MemberRecord> Result;
+  for (const auto &[Address, Host] : Others) {
+    if (!Host.Record || Host.Record->Status == MemberStatus::Left ||
+        Host.ForgetAt <= Now || Reachable.contains(Address))
+      continue;
+    Result.push_back(*Host.Record);
+    Result.back().Status = MemberStatus::Dead;
+    Result.back().Age = UnreachableLifetime - (Host.ForgetAt - Now);
+  }
+  return Result;
+}
+
 void FleetSize::expire(Instant Now) {
-  std::erase_if(ForgetAt,
-                [Now](const auto &Entry) { return Entry.second <= Now; });
+  std::erase_if(Others, [Now](const auto &Entry) {
+    return Entry.second.ForgetAt <= Now;
+  });
 }
 
 } // namespace mimosacart
--- a/direct/fleet_size.h
+++ b/direct/fleet_size.h
@@ -7,6 +7,8 @@
 
 #include <cstddef>
 #include <map>
+#include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -30,6 +32,11 @@
   void onToldMembers(Instant Now, const std::vector<MemberRecord> &Members);
   /// Takes the peer addresses that the store lists.
   void onListed(Instant Now, const std::vector<std::string> &Addresses);
+  /// Returns records of the hosts that may be at work and are not in
+  /// \p Reachable, with the time since they were, for other hosts to count
+  /// them. Membership drops such records earlier.
+  std::vector<MemberRecord>
+  unreachableHosts(Instant Now, const std::set<std::string> &Reachable) const;
   /// Drops the hosts that have been out of reach for long.
   void expire(Instant Now);
 
@@ -37,18 +44,26 @@
   /// not known: the store's list names only some hosts, and the first peers of
   /// a new process do not tell it of all others at once.
   std::size_t hosts(Instant Now) const {
-    return Now >= CompleteAt ? ForgetAt.size() + 1 : 0;
+    return Now >= CompleteAt ? Others.size() + 1 : 0;
   }
 
 private:
-  void add(const std::string &Address, Instant Until);
+  struct OtherHost {
+    /// When the host no longer counts.
+    Instant ForgetAt{};
+    /// The last record of the host; none if only its address is known.
+    std::optional<MemberRecord> Record;
+  };
+
+  OtherHost *add(const std::string &Address, Instant Until);
+  void add(const MemberRecord &Member, Instant Until);
 
   const std::string Self;
   const bool HasSeeds;
   /// When the count is taken to be complete.
   Instant CompleteAt = Instant::max();
   /// Other hosts by their peer addresses.
-  std::map<std::string, Instant> ForgetAt;
+  std::map<std::string, OtherHost> Others;
 };
 
 } // namespace mimosacart
--- a/tests/direct/fleet_size_test.cpp
+++ b/tests/direct/fleet_size_test.cpp
@@ -88,6 +88,33 @@
   EXPECT_LE(sumOfShares(), WholeLimit);
 }
 
+// Members drop the records of hosts that have long been out of reach, so that
+// new processes were not told of them.
+TEST_F(FleetSizeTest,
+       sharingHosts_hostsRestartLongAfterOthersWereCutOff_countThem) {
+  startWholeFleet();
+  cutOff(0, Count / 2);
+  advanceTime(4min);
+  for (unsigned Number = 40; Number < 50; ++Number)
+    restartHost(Number);
+  advanceTime(12s);
+  EXPECT_LE(sumOfShares(), WholeLimit);
+}
+
+// The hosts that were told tell others in turn.
+TEST_F(FleetSizeTest,
+       sharingHosts_wholePartRestartsInTurnLongAfterCut_countsOthers) {
+  startWholeFleet();
+  cutOff(0, Count / 2);
+  advanceTime(4min);
+  for (unsigned Number = Count / 2; Number < Count; ++Number) {
+    restartHost(Number);
+    advanceTime(5s);
+  }
+  advanceTime(12s);
+  EXPECT_LE(sumOfShares(), WholeLimit);
+}
+
 TEST_F(FleetSizeTest, sharingHosts_noOtherHostFound_takesNoShare) {
   startWholeFleet();
   cutOff(50, 51);
--- a/tests/direct/gossip_fleet.h
+++ b/tests/direct/gossip_fleet.h
@@ -80,6 +80,8 @@
     Settings.Times.AckTimeout = 300ms;
     Settings.Times.SuspectAfter = 700ms;
     Settings.Times.DeadAfter = 800ms;
+    // As the program has it.
+    Settings.Times.ForgetAfter = 2min;
     Settings.RandomSeed = Number + 1;
     Settings.IsFirstStart = IsFirstStart;
     FleetGossip::Hooks Callbacks;
