Call the hook for a caller that leaves only while the server exists

Cause: a session with an open exchange outlives its HttpServer and called the hook that the handler had set with onGone(), which may refer to what ended with the server. The destructor promises that no hook is called any more.

Change: the watch looks at Destroyed first, as the other hooks of the session do.

Failed before, passes now: HttpServerLifetimeTest.destructor_requestInProgress_callsNoHook.

--- a/net/http_session.cpp
+++ b/net/http_session.cpp
@@ -207,7 +207,7 @@
         const std::function<void()> Hook = std::move(Self->GoneHook);
         Self->GoneHook = nullptr;
         Self->close();
-        if (Hook)
+        if (Hook && !Self->Server->Destroyed)
           Hook();
       });
 }
--- a/tests/net/http_server_test.cpp
+++ b/tests/net/http_server_test.cpp
@@ -392,6 +392,38 @@
   EXPECT_EQ(Calls, 0U);
 }
 
+// Guards against a caller that leaves after the server has ended: the hook for
+// it may refer to what ended with the server.
+TEST(HttpServerLifetimeTest, destructor_requestInProgress_callsNoHook) {
+  asio::io_context Context;
+  tcp::socket Caller(Context);
+  std::shared_ptr<HttpExchange> Open;
+  unsigned Departures = 0;
+  auto Server = std::make_unique<HttpServer>(
+      Context, HttpServerLimits{},
+      [&](const HttpRequest &, const std::shared_ptr<HttpExchange> &Exchange) {
+        Open = Exchange;
+        Exchange->onGone([&Departures] { ++Departures; });
+      },
+      toRefusal);
+  for (unsigned Port = 9'900; Port < 9'990; ++Port) {
+    const std::string Address = "127.0.0.1:" + std::to_string(Port);
+    if (!Server->listen(Address).has_value())
+      continue;
+    Caller.connect(*parseEndpoint(Address));
+    break;
+  }
+  asio::write(Caller, asio::buffer(std::string_view(
+                          "GET / HTTP/1.1\r\nHost: a\r\n\r\n")));
+  Context.run_for(50ms);
+  ASSERT_TRUE(Open);
+  Server.reset();
+  Caller.close();
+  Context.restart();
+  Context.run_for(50ms);
+  EXPECT_EQ(Departures, 0U);
+}
+
 /// A planned stop after some handlers have run since the second request of a
 /// connection arrived.
 class HttpServerStopStepTest : public HttpServerStopTest,
