Wait in the soak until a started host runs before its memory is read

Cause: until a forked child runs the host's program, its memory is a copy of the soak program's. The soak read the child's peak in that time.

Change: HostProcess::start() returns when the child's end of a pipe, which closes on exec, is gone. The check itself and its limit are unchanged.

Result: MEMORY is about hosts only. Peaks that earlier rows of soak/README.md name may be those of the soak program.

--- a/soak/host_process.cpp
+++ b/soak/host_process.cpp
@@ -1,8 +1,11 @@
 #include "soak/host_process.h"
 
+#include <array>
+#include <cerrno>
 #include <csignal>
 #include <fcntl.h>
 #include <fstream>
+#include <limits>
 #include <stdexcept>
 #include <sys/prctl.h>
 #include <sys/wait.h>
@@ -12,8 +15,14 @@
 
 namespace {
 
-/// Descriptors below this number are closed in the child process.
-constexpr int DescriptorLimit = 4096;
+/// Waits until the writing end of a pipe has been closed, and closes
+/// \p Descriptor, its reading end.
+void waitForEnd(int Descriptor) {
+  char Byte = 0;
+  while (read(Descriptor, &Byte, 1) < 0 && errno == EINTR) {
+  }
+  close(Descriptor);
+}
 
 } // namespace
 
@@ -30,11 +39,17 @@
 }
 
 void HostProcess::start() {
+  std::array<int, 2> Started{};
+  if (pipe2(Started.data(), O_CLOEXEC) != 0)
+    throw std::runtime_error("cannot open a pipe");
   ProcessId = fork();
   if (ProcessId < 0)
     throw std::runtime_error("cannot fork a host process");
-  if (ProcessId > 0)
+  if (ProcessId > 0) {
+    close(Started[1]);
+    waitForEnd(Started[0]);
     return;
+  }
   constexpr int LogMode = 0644;
   const int LogDescriptor =
       open(LogPath.c_str(), O_WRONLY | O_CREAT | O_APPEND, LogMode);
@@ -42,9 +57,8 @@
   dup2(LogDescriptor, STDERR_FILENO);
   // Hosts must not inherit the stand-ins' sockets, which would otherwise stay
   // open after the soak process ends.
-  for (int Descriptor = STDERR_FILENO + 1; Descriptor < DescriptorLimit;
-       ++Descriptor)
-    close(Descriptor);
+  close_range(STDERR_FILENO + 1, std::numeric_limits<unsigned>::max(),
+              CLOSE_RANGE_CLOEXEC);
   prctl(PR_SET_PDEATHSIG, SIGKILL);
   const std::string SettingsArgument = "--settings=" + SettingsPath;
   execl(Program.c_str(), Program.c_str(), SettingsArgument.c_str(), nullptr);
--- a/soak/host_process.h
+++ b/soak/host_process.h
@@ -17,7 +17,9 @@
   HostProcess(const HostProcess &) = delete;
   HostProcess &operator=(const HostProcess &) = delete;
 
-  /// Starts the program; its output is appended to the log file.
+  /// Starts the program and returns once it runs in place of the copy of this
+  /// process, whose memory is not its own. Its output is appended to the log
+  /// file.
   void start();
   /// Sends \p Signal to the process if one was started and its end has not been
   /// detected.
