--- a/soak/host_process.cpp
+++ b/soak/host_process.cpp
@@ -1,8 +1,12 @@
 #include "soak/host_process.h"
 
+#include <array>
+#include <cerrno>
 #include <csignal>
+#include <cstdlib>
 #include <fcntl.h>
 #include <fstream>
+#include <limits>
 #include <stdexcept>
 #include <sys/prctl.h>
 #include <sys/wait.h>
@@ -12,15 +16,22 @@
 
 namespace {
 
-/// Descriptors below this number are closed in the child process.
-constexpr int DescriptorLimit = 4096;
+/// Waits until the writing end of a pipe has been closed, and closes
+/// \p Descriptor, its reading end.
+void waitForEnd(int Descriptor) {
+  char Byte = 0;
+  while (read(Descriptor, &Byte, 1) < 0 && errno == EINTR) {
+  }
+  close(Descriptor);
+}
 
 } // namespace
 
 HostProcess::HostProcess(std::string Program, std::string SettingsPath,
-                         std::string LogPath)
+                         std::string LogPath,
+                         std::vector<std::string> Environment)
     : Program(std::move(Program)), SettingsPath(std::move(SettingsPath)),
-      LogPath(std::move(LogPath)) {}
+      LogPath(std::move(LogPath)), Environment(std::move(Environment)) {}
 
 HostProcess::~HostProcess() {
   if (!running())
@@ -30,11 +41,17 @@
 }
 
 void HostProcess::start() {
+  std::array<int, 2> Started{};
+  if (pipe2(Started.data(), O_CLOEXEC) != 0)
+    throw std::runtime_error("cannot open a pipe");
   ProcessId = fork();
   if (ProcessId < 0)
     throw std::runtime_error("cannot fork a host process");
-  if (ProcessId > 0)
+  if (ProcessId > 0) {
+    close(Started[1]);
+    waitForEnd(Started[0]);
     return;
+  }
   constexpr int LogMode = 0644;
   const int LogDescriptor =
       open(LogPath.c_str(), O_WRONLY | O_CREAT | O_APPEND, LogMode);
@@ -42,10 +59,11 @@
   dup2(LogDescriptor, STDERR_FILENO);
   // Hosts must not inherit the stand-ins' sockets, which would otherwise stay
   // open after the soak process ends.
-  for (int Descriptor = STDERR_FILENO + 1; Descriptor < DescriptorLimit;
-       ++Descriptor)
-    close(Descriptor);
+  close_range(STDERR_FILENO + 1, std::numeric_limits<unsigned>::max(),
+              CLOSE_RANGE_CLOEXEC);
   prctl(PR_SET_PDEATHSIG, SIGKILL);
+  for (std::string &Variable : Environment)
+    putenv(Variable.data());
   const std::string SettingsArgument = "--settings=" + SettingsPath;
   execl(Program.c_str(), Program.c_str(), SettingsArgument.c_str(), nullptr);
   _exit(127);
