Keep limits of servers when hosts do not reach each other

Cause: a limit was divided by the hosts that are reachable now. Hosts that have lost each other are all still at work, so their parts added up to more than the limit; a process that had found no other host took all of it.

Change: a host's part still goes by the hosts that it reaches, so that others take over from hosts that are gone. It is bounded by all hosts that may be at work (FleetSize): only the first of these in the server's order may ever send, and each at most so much that all of them together stay within what a server may get in 4 s. As long as these hosts are not known a host takes no part.

Tests changed: SharedLimitFleet::cut() excuses no host any more (stricter), its new processes know the fleet after 3 s, as with FleetSize, and it remembers hosts that are gone. The hooks of other tests return the new FleetPosition.

--- a/bench/decision_bench.cpp
+++ b/bench/decision_bench.cpp
@@ -158,8 +158,9 @@
 void checkServerConstraints(benchmark::State &State) {
   std::vector<DiscoveredServer> Servers(
       static_cast<std::size_t>(State.range(0)));
-  ServerConstraints Constraints(
-      [](const ServerName &) { return HostPosition{}; });
+  ServerConstraints Constraints([](const ServerName &) {
+    return FleetPosition{HostPosition{}, HostPosition{}};
+  });
   Instant Now(1h);
   for (std::size_t Index = 0; Index < Servers.size(); ++Index) {
     Servers[Index].Id = ServerName("server-" + std::to_string(Index));
--- a/direct/fleet_gossip.cpp
+++ b/direct/fleet_gossip.cpp
@@ -225,17 +225,22 @@
 }
 
 /// The order follows from peer addresses, which a host keeps when it restarts.
-HostPosition FleetGossip::position(const std::string &Key) const {
+FleetPosition FleetGossip::position(const std::string &Key) const {
   const std::uint64_t Seed = stableHash(Key);
   const std::string &Self = Settings.Self.PeerAddress;
   const std::uint64_t OwnHash = stableHash(Self, Seed);
-  HostPosition Result;
+  const auto ComesBefore = [Seed, OwnHash](const std::string &Address) {
+    return stableHash(Address, Seed) < OwnHash;
+  };
+  FleetPosition Result;
   for (const std::string &Address : PeerAddresses) {
     if (Address == Self)
       continue;
-    ++Result.Hosts;
-    Result.Rank += stableHash(Address, Seed) < OwnHash ? 1 : 0;
+    ++Result.Reachable.Hosts;
+    Result.Reachable.Rank += ComesBefore(Address) ? 1 : 0;
   }
+  if (sharingHosts() > 0)
+    Result.Overall = {Size.countOthers(ComesBefore), sharingHosts()};
   return Result;
 }
 
@@ -364,7 +369,7 @@
       continue;
     Updates.Members.push_back(Record);
     if (IsNew && Record.Status <= MemberStatus::Suspect &&
-        position(Record.PeerAddress).Rank < HostsThatTellNewcomers)
+        position(Record.PeerAddress).Reachable.Rank < HostsThatTellNewcomers)
       sendUnreachableHosts(Record);
   }
   for (const CrashNotice &Notice : Message.Crashes)
--- a/direct/fleet_gossip.h
+++ b/direct/fleet_gossip.h
@@ -72,8 +72,8 @@
   /// unreachable ones included; 0 if not known. See FleetSize::hosts().
   std::size_t sharingHosts() const { return Size.hosts(Now); }
 
-  /// This host's position among all hosts in an order that depends on \p Key.
-  HostPosition position(const std::string &Key) const;
+  /// This host's position among the others in an order that depends on \p Key.
+  FleetPosition position(const std::string &Key) const;
 
   /// Records that a request with \p Fingerprint crashed \p Server, and sends
   /// the notice to all hosts.
--- a/direct/fleet_size.cpp
+++ b/direct/fleet_size.cpp
@@ -79,6 +79,13 @@
     CompleteAt = std::min(CompleteAt, Now);
 }
 
+std::size_t FleetSize::countOthers(
+    const std::function<bool(const std::string &)> &IsCounted) const {
+  return static_cast<std::size_t>(std::count_if(
+      ForgetAt.begin(), ForgetAt.end(),
+      [&IsCounted](const auto &Entry) { return IsCounted(Entry.first); }));
+}
+
 void FleetSize::expire(Instant Now) {
   std::erase_if(ForgetAt,
                 [Now](const auto &Entry) { return Entry.second <= Now; });
--- a/direct/fleet_size.h
+++ b/direct/fleet_size.h
@@ -6,6 +6,7 @@
 #include "core/time.h"
 
 #include <cstddef>
+#include <functional>
 #include <map>
 #include <string>
 #include <vector>
@@ -40,6 +41,11 @@
     return Now >= CompleteAt ? ForgetAt.size() + 1 : 0;
   }
 
+  /// Number of other hosts that may be at work and whose peer address
+  /// \p IsCounted names.
+  std::size_t
+  countOthers(const std::function<bool(const std::string &)> &IsCounted) const;
+
 private:
   void add(const std::string &Address, Instant Until);
 
--- a/direct/server_constraints.cpp
+++ b/direct/server_constraints.cpp
@@ -12,6 +12,12 @@
 /// Limit assumed for servers that name a lower one, in requests a second, so
 /// that a server is not left alone for ever.
 constexpr double MinRequestsPerSecond = 0.1;
+/// What a server may get in any window whichever hosts reach each other, in
+/// requests and as a multiple of its limit. Below what servers bear, so that a
+/// request that arrives late does no harm.
+constexpr double WindowSeconds = 4;
+constexpr double WindowRequests = 4.5;
+constexpr double WindowLimitFactor = 1.45;
 /// Time for which unused requests are kept, but one is always kept.
 constexpr double MaxBurstSeconds = 0.2;
 /// How often a host's part is computed from the hosts that are there.
@@ -25,6 +31,36 @@
 /// Leaving servers that are remembered; more than a host meets in a day.
 constexpr std::size_t MaxLeavingServers = 4096;
 
+/// Requests a second that each of \p Senders hosts may send without exceeding
+/// what a server may get, \p InWindow, even if all begin with a burst.
+double maxRate(double InWindow, std::size_t Senders) {
+  const double OfOneHost = InWindow / static_cast<double>(Senders);
+  return std::min((OfOneHost - 1) / WindowSeconds,
+                  OfOneHost / (WindowSeconds + MaxBurstSeconds));
+}
+
+/// Returns a host's part of a limit of \p Total requests a second.
+double computeRate(double Total, const FleetPosition &Position) {
+  if (!Position.Overall)
+    return 0;
+  const HostPosition &Reachable = Position.Reachable;
+  const HostPosition &Overall = *Position.Overall;
+  const std::size_t MostSharing =
+      MinSharingHosts + static_cast<std::size_t>(Total);
+  const double InWindow =
+      WindowRequests + WindowLimitFactor * WindowSeconds * Total;
+  const double LeastOfOneHost =
+      1 + WindowSeconds * Total / static_cast<double>(MostSharing);
+  // More than MostSharing: the last ones replace those that are gone.
+  const auto MostSenders = static_cast<std::size_t>(InWindow / LeastOfOneHost);
+  const std::size_t Senders = std::min(Overall.Hosts, MostSenders);
+  if (Reachable.Rank >= MostSharing || Overall.Rank >= Senders)
+    return 0;
+  const std::size_t Sharing = std::min(Reachable.Hosts, MostSharing);
+  return std::min(Total / static_cast<double>(Sharing),
+                  maxRate(InWindow, Senders));
+}
+
 } // namespace
 
 bool ServerConstraints::setLimit(Instant Now, const ServerName &Server,
@@ -47,12 +83,8 @@
 
 void ServerConstraints::updateRate(Instant Now, const ServerName &Server,
                                    NamedLimit &Limit) {
-  const HostPosition Position = FindPosition(Server);
   const double Total = std::max(Limit.RequestsPerSecond, MinRequestsPerSecond);
-  const std::size_t Sharing = std::min(
-      Position.Hosts, MinSharingHosts + static_cast<std::size_t>(Total));
-  const bool HasShare = Position.Rank < Sharing;
-  Limit.Rate = HasShare ? Total / static_cast<double>(Sharing) : 0;
+  Limit.Rate = computeRate(Total, FindPosition(Server));
   Limit.RateAt = Now;
 }
 
@@ -79,7 +111,7 @@
 
 void ServerConstraints::setQuiet(Instant Now, const ServerName &Server,
                                  Duration Length) {
-  const auto Rank = static_cast<int>(FindPosition(Server).Rank);
+  const auto Rank = static_cast<int>(FindPosition(Server).Reachable.Rank);
   const Duration Delay = std::min(ReturnInterval * Rank, MaxReturnDelay);
   Instant &Until = QuietUntil[Server];
   Until = std::max(Until, Now + Length + Delay);
--- a/direct/server_constraints.h
+++ b/direct/server_constraints.h
@@ -14,9 +14,9 @@
 
 namespace mimosacart {
 
-/// Position of a host in the order in which hosts get shares of a server's
-/// limit; the order differs from server to server and is equal on all hosts
-/// that know of the same hosts.
+/// Position of a host among some hosts, in the order in which they get shares
+/// of a server's limit. The order differs from server to server and is equal on
+/// all hosts that know of the same hosts.
 struct HostPosition {
   std::size_t Rank = 0;
   std::size_t Hosts = 1;
@@ -24,6 +24,18 @@
   friend bool operator==(const HostPosition &, const HostPosition &) = default;
 };
 
+/// Where a host stands among the others.
+struct FleetPosition {
+  /// Among the hosts that can be reached now.
+  HostPosition Reachable;
+  /// Among all hosts that may be at work, reachable or not; nothing as long as
+  /// these are not known.
+  std::optional<HostPosition> Overall;
+
+  friend bool operator==(const FleetPosition &,
+                         const FleetPosition &) = default;
+};
+
 /// Why a server must not be sent a request now.
 enum class SendBlock : std::uint8_t {
   None,
@@ -45,9 +57,13 @@
 /// answers and takes an equal part. While a limit is low compared with the
 /// number of hosts, only the first hosts in the server's order send to it, so
 /// that single requests of many hosts do not exceed the limit together.
+///
+/// Parts go by the hosts that can be reached, so that others take over from
+/// hosts that are gone. They are bounded by all hosts that may be at work, so
+/// that hosts that cannot reach each other do not exceed the limit together.
 class ServerConstraints {
 public:
-  using PositionHook = std::function<HostPosition(const ServerName &)>;
+  using PositionHook = std::function<FleetPosition(const ServerName &)>;
 
   explicit ServerConstraints(PositionHook FindPosition)
       : FindPosition(std::move(FindPosition)) {}
--- a/tests/direct/flow_harness.cpp
+++ b/tests/direct/flow_harness.cpp
@@ -49,7 +49,9 @@
     CrashCounts.erase(Fingerprint);
   };
   Result.QuarantinedAgain = [](Instant, std::uint64_t) {};
-  Result.Position = [](const ServerName &) { return HostPosition{}; };
+  Result.Position = [](const ServerName &) {
+    return FleetPosition{HostPosition{}, HostPosition{}};
+  };
   Result.CrashCount = [this](std::uint64_t Fingerprint) {
     return CrashCounts[Fingerprint];
   };
--- a/tests/direct/server_constraints_test.cpp
+++ b/tests/direct/server_constraints_test.cpp
@@ -29,8 +29,10 @@
   }
 
   void addHost(HostPosition Position) {
-    Hosts.push_back(std::make_unique<ServerConstraints>(
-        [Position](const ServerName &) { return Position; }));
+    Hosts.push_back(
+        std::make_unique<ServerConstraints>([Position](const ServerName &) {
+          return FleetPosition{Position, Position};
+        }));
     Hosts.back()->setLimit(Now, Server, Limit);
   }
 
@@ -84,8 +86,9 @@
 protected:
   Instant Now{1h};
   HostPosition Position;
-  ServerConstraints Constraints{
-      [this](const ServerName &) { return Position; }};
+  ServerConstraints Constraints{[this](const ServerName &) {
+    return FleetPosition{Position, Position};
+  }};
 };
 
 // Guards against a late row of the store that brings a leaving server back.
@@ -121,8 +124,9 @@
 RC_GTEST_PROP(
     ServerConstraintsTest, anyOrderOfWishes_sends_keepThem,
     (const std::vector<std::pair<std::uint8_t, std::uint8_t>> &Steps)) {
-  ServerConstraints Constraints(
-      [](const ServerName &) { return HostPosition{}; });
+  ServerConstraints Constraints([](const ServerName &) {
+    return FleetPosition{HostPosition{}, HostPosition{}};
+  });
   Instant Now{1h};
   Instant QuietUntil{};
   std::uint64_t Incarnation = 1;
--- a/tests/direct/shared_limit_fleet.cpp
+++ b/tests/direct/shared_limit_fleet.cpp
@@ -9,6 +9,10 @@
 namespace {
 
 constexpr Duration Step = 20ms;
+/// How often the hosts that others overlook change.
+constexpr Duration OverlookTime = 2s;
+/// Time in which a new process takes no part of a limit; see FleetSize.
+constexpr Duration DiscoveryTime = 3s;
 /// Bounds of the rule.
 constexpr Duration ContactTime = 3s;
 constexpr Duration PassedOnBefore = 500ms;
@@ -63,10 +67,8 @@
 
 void SharedLimitFleet::cut(Duration From, Duration To,
                            const std::vector<std::size_t> &Cut) {
-  for (const std::size_t Index : Cut) {
+  for (const std::size_t Index : Cut)
     Hosts[Index].IsCut = true;
-    Hosts[Index].Excused.emplace_back(Start + From, Start + To + ContactTime);
-  }
   for (std::size_t Index = 0; Index < Hosts.size(); ++Index) {
     ViewChanges.push_back({Start + From, Index, false, true, {}});
     ViewChanges.push_back({Start + To, Index, true, true, {}});
@@ -88,24 +90,57 @@
       Change.Delays.push_back(draw(0s, MaxViewDelay));
 }
 
-HostPosition SharedLimitFleet::findPosition(std::size_t Host) const {
+void SharedLimitFleet::drawOverlooked() {
+  if (OverlookedPart == 0 || Now < NextOverlookedAt)
+    return;
+  NextOverlookedAt = Now + OverlookTime;
+  std::bernoulli_distribution IsOverlooked(OverlookedPart);
+  for (std::vector<bool> &Row : Overlooked)
+    for (std::size_t Other = 0; Other < Row.size(); ++Other)
+      Row[Other] = IsOverlooked(Random);
+}
+
+HostPosition
+SharedLimitFleet::findPositionAmong(std::size_t Host,
+                                    const std::vector<bool> &Counted) const {
+  HostPosition Result;
+  for (std::size_t Other = 0; Other < Hosts.size(); ++Other) {
+    if (Other == Host || !Counted[Other])
+      continue;
+    ++Result.Hosts;
+    Result.Rank += Hosts[Other].Address < Hosts[Host].Address ? 1 : 0;
+  }
+  return Result;
+}
+
+bool SharedLimitFleet::knowsFleet(std::size_t Host) const {
+  const std::vector<Instant> &Restarts = Hosts[Host].RestartsAt;
+  return std::none_of(Restarts.begin(), Restarts.end(), [this](Instant At) {
+    return At <= Now && Now < At + DiscoveryTime;
+  });
+}
+
+FleetPosition SharedLimitFleet::findPosition(std::size_t Host) const {
   std::vector<bool> Seen(Hosts.size());
   for (std::size_t Other = 0; Other < Hosts.size(); ++Other)
     Seen[Other] = Hosts[Other].StartsAt < Start;
+  // Hosts that are gone or cut off may be at work for all that others know.
+  std::vector<bool> EverSeen = Seen;
   for (const ViewChange &Change : ViewChanges) {
     if (Change.IsCut && Hosts[Host].IsCut == Hosts[Change.Host].IsCut)
       continue;
     // A host that starts later learns of the others in its own time as well.
-    if (std::max(Change.At, Hosts[Host].StartsAt) + Change.Delays[Host] <= Now)
-      Seen[Change.Host] = Change.IsThere;
-  }
-  HostPosition Result;
-  for (std::size_t Other = 0; Other < Hosts.size(); ++Other) {
-    if (Other == Host || !Seen[Other])
+    if (std::max(Change.At, Hosts[Host].StartsAt) + Change.Delays[Host] > Now)
       continue;
-    ++Result.Hosts;
-    Result.Rank += Hosts[Other].Address < Hosts[Host].Address ? 1 : 0;
+    Seen[Change.Host] = Change.IsThere;
+    EverSeen[Change.Host] = EverSeen[Change.Host] || Change.IsThere;
   }
+  for (std::size_t Other = 0; Other < Hosts.size(); ++Other)
+    Seen[Other] = Seen[Other] && !Overlooked[Host][Other];
+  FleetPosition Result;
+  Result.Reachable = findPositionAmong(Host, Seen);
+  if (knowsFleet(Host))
+    Result.Overall = findPositionAmong(Host, EverSeen);
   return Result;
 }
 
@@ -250,8 +285,10 @@
 
 SharedLimitResult SharedLimitFleet::run(Duration Length) {
   drawViewDelays();
+  Overlooked.assign(Hosts.size(), std::vector<bool>(Hosts.size()));
   double Allowed = 0;
   for (const Instant End = Start + Length; Now < End; Now += Step) {
+    drawOverlooked();
     receiveAnswers();
     const auto Change = findChange(Now);
     if (Change && !isPaused() && Now >= firstNamedAt(*Change) + ContactTime)
--- a/tests/direct/shared_limit_fleet.h
+++ b/tests/direct/shared_limit_fleet.h
@@ -54,8 +54,11 @@
   void kill(Duration At, std::size_t Host);
   /// Adds a host that the others learn of.
   void join(Duration At);
-  /// Cuts the hosts in \p Cut from all others.
+  /// Cuts the hosts in \p Cut from all others. Excuses none of them.
   void cut(Duration From, Duration To, const std::vector<std::size_t> &Cut);
+  /// Every host fails to reach a random part of the others throughout, drawn
+  /// anew every 2 s.
+  void overlook(double Part) { OverlookedPart = Part; }
   /// No host has requests in this time.
   void pause(Duration From, Duration To);
 
@@ -82,7 +85,13 @@
     std::size_t Process = 0;
   };
 
-  HostPosition findPosition(std::size_t Host) const;
+  FleetPosition findPosition(std::size_t Host) const;
+  HostPosition findPositionAmong(std::size_t Host,
+                                 const std::vector<bool> &Counted) const;
+  /// Whether the present process of a host has found all others yet.
+  bool knowsFleet(std::size_t Host) const;
+  /// Draws which others each host cannot reach now because of overlook().
+  void drawOverlooked();
   void drawViewDelays();
   Duration draw(Duration Min, Duration Max);
   /// Index of the last change before \p At; nothing if there was none.
@@ -113,6 +122,10 @@
   std::vector<PendingAnswer> Answers;
   std::vector<Instant> CountedArrivals;
   double Sent = 0;
+  double OverlookedPart = 0;
+  /// The others that each host cannot reach now because of overlook().
+  std::vector<std::vector<bool>> Overlooked;
+  Instant NextOverlookedAt = Start;
 };
 
 } // namespace mimosacart
--- a/tests/direct/shared_limit_test.cpp
+++ b/tests/direct/shared_limit_test.cpp
@@ -105,5 +105,15 @@
   RC_ASSERT(Result.Sent >= 0.9 * Result.Allowed - 3);
 }
 
+// Guards against hosts that take larger parts because they cannot reach others.
+RC_GTEST_PROP(SharedLimitTest, hostsOverlookOthers_pressure_limitIsKept, ()) {
+  const std::uint32_t Seed = drawSeed();
+  Scenario Drawn(Seed);
+  Drawn.addLimits(true);
+  Drawn.addPauses();
+  Drawn.Fleet.overlook(static_cast<double>(Drawn.drawNumber(1, 6)) / 10);
+  RC_ASSERT(Drawn.Fleet.run(Length).Excess <= 0);
+}
+
 } // namespace
 } // namespace mimosacart
