--- a/direct/fleet_size.cpp
+++ b/direct/fleet_size.cpp
@@ -102,6 +102,13 @@
   return Result;
 }
 
+std::size_t FleetSize::countOthers(
+    const std::function<bool(const std::string &)> &IsCounted) const {
+  return static_cast<std::size_t>(std::count_if(
+      Others.begin(), Others.end(),
+      [&IsCounted](const auto &Entry) { return IsCounted(Entry.first); }));
+}
+
 void FleetSize::expire(Instant Now) {
   std::erase_if(Others, [Now](const auto &Entry) {
     return Entry.second.ForgetAt <= Now;
--- a/direct/fleet_size.h
+++ b/direct/fleet_size.h
@@ -6,6 +6,7 @@
 #include "core/time.h"
 
 #include <cstddef>
+#include <functional>
 #include <map>
 #include <optional>
 #include <set>
@@ -47,6 +48,11 @@
     return Now >= CompleteAt ? Others.size() + 1 : 0;
   }
 
+  /// Number of other hosts that may be at work and whose peer address
+  /// \p IsCounted names.
+  std::size_t
+  countOthers(const std::function<bool(const std::string &)> &IsCounted) const;
+
 private:
   struct OtherHost {
     /// When the host no longer counts.
