Tell all hosts that a request is no longer suspected

Cause: an excuse changed one host's memory only. Its peers, and hosts that were paused or restarted, kept the crashes, which renewed themselves as long as copies came; under quarantine no copy could be served there. Class: evidence against a request travels, evidence for it stays where it arose.

Change: a crash notice bears whether it is excused (a new field of the peer protocol, which older hosts ignore). Excuses are sent at once, are part of the digest, and so reach a host that was away by the repair of differing digests. A host that hears of a crash of a request that it has had served in the last 3 s takes it as excused and tells the others, the lowest ranks first, so that few of them do. Records in the store hold counted crashes only. An excuse is for the notices known; new crashes count again.

Evidence: excuseCrashes_oneHost_allHostsExcuse, _hostAwayMeanwhile_excusesToo, _hostRestarts_excusesToo, addCrash_othersAreServed_isExcused and addCrash_afterExcuse_countsAndIsRecorded (FleetGossipCrashTest) failed on the code before, in a copy without the new hook, and pass now; the tests that no host forgets pass before and after. Tests changed: excuseCrashes() takes the time; the codec's test sets the field.

--- a/core/expiring_notices.cpp
+++ b/core/expiring_notices.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <optional>
+#include <utility>
 
 namespace mimosacart {
 
@@ -61,7 +62,11 @@
   if (Remaining <= Duration::zero())
     return false;
   const CrashKey Key{Received.Fingerprint, Received.Server, Received.EventId};
-  return Crashes.emplace(Key, Crash{Now + Remaining, Now}).second;
+  const auto [Found, IsNew] =
+      Crashes.emplace(Key, Crash{Now + Remaining, Now, Received.Excused});
+  if (IsNew)
+    return true;
+  return Received.Excused && !std::exchange(Found->second.Excused, true);
 }
 
 bool ExpiringNotices::isDraining(Instant Now, const ServerName &Server) const {
@@ -94,13 +99,29 @@
   return Count;
 }
 
-void ExpiringNotices::excuseCrashes(std::uint64_t Fingerprint) {
+std::vector<CrashNotice>
+ExpiringNotices::countedCrashes(Instant Now, std::uint64_t Fingerprint) const {
+  std::vector<CrashNotice> Result;
   auto Next = Crashes.lower_bound({Fingerprint, ServerName(), 0});
   for (; Next != Crashes.end(); ++Next) {
-    if (Next->first.Fingerprint != Fingerprint)
+    const auto &[Key, State] = *Next;
+    if (Key.Fingerprint != Fingerprint)
       break;
-    Next->second.Excused = true;
+    if (State.ExpiresAt > Now && !State.Excused)
+      Result.push_back(
+          {Key.Fingerprint, Key.Server, Key.EventId, State.ExpiresAt - Now});
   }
+  return Result;
+}
+
+std::vector<CrashNotice>
+ExpiringNotices::excuseCrashes(Instant Now, std::uint64_t Fingerprint) {
+  std::vector<CrashNotice> Result = countedCrashes(Now, Fingerprint);
+  for (CrashNotice &Notice : Result) {
+    Notice.Excused = true;
+    mergeCrash(Now, Notice);
+  }
+  return Result;
 }
 
 void ExpiringNotices::renewCrashes(Instant Now, std::uint64_t Fingerprint) {
@@ -138,8 +159,8 @@
 std::vector<CrashNotice> ExpiringNotices::crashes(Instant Now) const {
   std::vector<CrashNotice> Result;
   for (const auto &[Key, State] : Crashes)
-    Result.push_back(
-        {Key.Fingerprint, Key.Server, Key.EventId, State.ExpiresAt - Now});
+    Result.push_back({Key.Fingerprint, Key.Server, Key.EventId,
+                      State.ExpiresAt - Now, State.Excused});
   return Result;
 }
 
@@ -148,8 +169,11 @@
   for (const auto &[Server, State] : Drains)
     Result += stableHash(Server.value(),
                          State.Version * 2 + (State.Draining ? 1 : 0));
-  for (const auto &[Key, State] : Crashes)
-    Result += stableHash(Key.Server.value(), Key.Fingerprint + Key.EventId);
+  for (const auto &[Key, State] : Crashes) {
+    const std::uint64_t Hash =
+        stableHash(Key.Server.value(), Key.Fingerprint + Key.EventId);
+    Result += State.Excused ? stableHash("excused", Hash) : Hash;
+  }
   return Result;
 }
 
--- a/core/expiring_notices.h
+++ b/core/expiring_notices.h
@@ -49,7 +49,7 @@
   /// newer or it changed the known drain state.
   bool mergeDrain(Instant Now, const DrainNotice &Received);
   /// Merges a notice received from a peer. Returns whether the crash was not
-  /// known before.
+  /// known before, or not excused.
   bool mergeCrash(Instant Now, const CrashNotice &Received);
 
   bool isDraining(Instant Now, const ServerName &Server) const;
@@ -58,9 +58,10 @@
   std::size_t crashCount(Instant Now, std::uint64_t Fingerprint) const;
 
   /// Stops counting the crashes known for \p Fingerprint, because a server has
-  /// run such a request to its end. They are kept, so that peers do not send
-  /// them again.
-  void excuseCrashes(std::uint64_t Fingerprint);
+  /// run such a request to its end. They are kept, so that all hosts learn it.
+  /// Returns those that were counted until now.
+  std::vector<CrashNotice> excuseCrashes(Instant Now,
+                                         std::uint64_t Fingerprint);
   /// Extends the lifetime of the crashes known for \p Fingerprint to its full
   /// length, because requests with it keep coming.
   void renewCrashes(Instant Now, std::uint64_t Fingerprint);
@@ -70,6 +71,10 @@
 
   std::vector<DrainNotice> drains(Instant Now) const;
   std::vector<CrashNotice> crashes(Instant Now) const;
+  /// The crashes that crashCount() counts, before those of the same end are
+  /// taken for one.
+  std::vector<CrashNotice> countedCrashes(Instant Now,
+                                          std::uint64_t Fingerprint) const;
   /// Digest of the notices; equal on hosts that hold the same ones, whatever
   /// their remaining lifetimes.
   std::uint64_t digest() const;
--- a/core/peer_messages.h
+++ b/core/peer_messages.h
@@ -68,6 +68,8 @@
   /// Distinguishes two crashes of the same server.
   std::uint64_t EventId = 0;
   Duration Remaining{};
+  /// Whether the request is no longer suspected of this crash.
+  bool Excused = false;
 
   friend bool operator==(const CrashNotice &, const CrashNotice &) = default;
 };
--- a/direct/crash_records.cpp
+++ b/direct/crash_records.cpp
@@ -72,11 +72,7 @@
     Callbacks.Remove(Fingerprint);
     return false;
   }
-  std::vector<CrashNotice> Recorded = Notices.crashes(Now);
-  std::erase_if(Recorded, [Fingerprint](const CrashNotice &Notice) {
-    return Notice.Fingerprint != Fingerprint;
-  });
-  Callbacks.Write(Fingerprint, Recorded);
+  Callbacks.Write(Fingerprint, Notices.countedCrashes(Now, Fingerprint));
   return false;
 }
 
--- a/direct/direct_node.cpp
+++ b/direct/direct_node.cpp
@@ -37,7 +37,11 @@
             {{StoreTable::Routes, &RouteRows},
              {StoreTable::Servers, &ServerRows}},
             {Callbacks.Send, Callbacks.SetReadMode, Callbacks.ReadTable,
-             Callbacks.Log, Callbacks.Records}),
+             Callbacks.Log,
+             [this](std::uint64_t Fingerprint) {
+               return Flow.wasServed(Now, Fingerprint);
+             },
+             Callbacks.Records}),
       Flow(Settings.Flow, Settings.Retries,
            ServerRanking(Settings.Ranking, Settings.Fleet.Self.DataCentre,
                          Settings.Fleet.RandomSeed),
@@ -59,7 +63,7 @@
   Result.CrashesExcused = [this](std::uint64_t Fingerprint) {
     Callbacks.Log("crashes_excused",
                   {{"fingerprint", std::to_string(Fingerprint)}});
-    Fleet.excuseCrashes(Fingerprint);
+    Fleet.excuseCrashes(Now, Fingerprint);
   };
   Result.QuarantinedAgain = [this](Instant At, std::uint64_t Fingerprint) {
     Fleet.renewCrashes(At, Fingerprint);
--- a/direct/fleet_gossip.cpp
+++ b/direct/fleet_gossip.cpp
@@ -31,6 +31,9 @@
 /// Smaller updates of table rows are sent to all hosts of a data centre by one
 /// of them.
 constexpr std::size_t MinForwardedBytes = 2U << 10U;
+/// All hosts that served a request excuse a crash reported of it. Each tells
+/// the others after this time for each rank before it, unless it was told.
+constexpr Duration ExcuseDelayPerRank = std::chrono::milliseconds(20);
 /// Each host with an open request reports the same crash of a server. A server
 /// that crashed needs longer to be back and crash again.
 constexpr NoticeLifetimes CrashNoticeLifetimes = {.SameEndInterval =
@@ -185,6 +188,7 @@
   Members.tick(Now);
   Notices.expire(Now);
   sendMemberUpdates();
+  tellExcuses();
   refreshMembers();
   if (Now >= NextSizeUpdate)
     updateSize();
@@ -249,6 +253,14 @@
   disseminate(std::move(Updates));
 }
 
+void FleetGossip::excuseCrashes(Instant At, std::uint64_t Fingerprint) {
+  Now = At;
+  SoftState Updates;
+  Updates.Crashes = Notices.excuseCrashes(Now, Fingerprint);
+  if (!Updates.Crashes.empty())
+    disseminate(std::move(Updates));
+}
+
 void FleetGossip::onCrashRecordsRead(Instant At,
                                      std::vector<CrashNotice> Recorded) {
   Now = At;
@@ -367,18 +379,50 @@
         position(Record.PeerAddress).Rank < HostsThatTellNewcomers)
       sendUnreachableHosts(Record);
   }
-  for (const CrashNotice &Notice : Message.Crashes)
-    if (Notices.mergeCrash(Now, Notice)) {
-      Updates.Crashes.push_back(Notice);
-      Callbacks.Log("crash_told",
-                    {{"fingerprint", std::to_string(Notice.Fingerprint)},
-                     {"server", Notice.Server.value()}});
-    }
+  for (CrashNotice Notice : Message.Crashes)
+    if (mergeCrash(Notice))
+      Updates.Crashes.push_back(std::move(Notice));
   const bool HasUpdates = !Updates.Members.empty() || !Updates.Crashes.empty();
   if (Message.ForwardInDataCentre && HasUpdates)
     forwardInDataCentre(From, std::move(Updates));
 }
 
+bool FleetGossip::mergeCrash(CrashNotice &Notice) {
+  const std::uint64_t Fingerprint = Notice.Fingerprint;
+  const bool Told = Notice.Excused;
+  if (Told)
+    UntoldExcuses.erase(Fingerprint);
+  else
+    Notice.Excused = Callbacks.WasServed(Fingerprint);
+  if (!Notices.mergeCrash(Now, Notice))
+    return false;
+  if (Notice.Excused && !Told)
+    UntoldExcuses.try_emplace(
+        Fingerprint, Now + ExcuseDelayPerRank *
+                               static_cast<Duration::rep>(
+                                   position(std::to_string(Fingerprint)).Rank));
+  Callbacks.Log("crash_told",
+                {{"fingerprint", std::to_string(Notice.Fingerprint)},
+                 {"server", Notice.Server.value()},
+                 {"excused", Notice.Excused ? "yes" : "no"}});
+  return true;
+}
+
+void FleetGossip::tellExcuses() {
+  if (UntoldExcuses.empty())
+    return;
+  SoftState Updates;
+  for (const CrashNotice &Notice : Notices.crashes(Now)) {
+    const auto Found = UntoldExcuses.find(Notice.Fingerprint);
+    if (Notice.Excused && Found != UntoldExcuses.end() && Found->second <= Now)
+      Updates.Crashes.push_back(Notice);
+  }
+  std::erase_if(UntoldExcuses,
+                [this](const auto &Entry) { return Entry.second <= Now; });
+  if (!Updates.Crashes.empty())
+    disseminate(std::move(Updates));
+}
+
 void FleetGossip::compareViews(const HostName &From, std::uint64_t Digest,
                                const TableVersions &Versions) {
   // A newcomer requests its first rows from a host that it has just learned of.
--- a/direct/fleet_gossip.h
+++ b/direct/fleet_gossip.h
@@ -44,6 +44,8 @@
     /// Reads a whole table from the store once.
     std::function<void(StoreTable)> ReadTable;
     FlowLogHook Log;
+    /// Whether a server has just run such a request of this host to its end.
+    std::function<bool(std::uint64_t Fingerprint)> WasServed;
     CrashRecords::Hooks Records;
   };
 
@@ -83,10 +85,9 @@
   /// Number of unexpired crashes that requests with \p Fingerprint are
   /// suspected of.
   std::size_t crashes(std::uint64_t Fingerprint) const;
-  /// See ExpiringNotices::excuseCrashes().
-  void excuseCrashes(std::uint64_t Fingerprint) {
-    Notices.excuseCrashes(Fingerprint);
-  }
+  /// Excuses the crashes known for \p Fingerprint at all hosts, see
+  /// ExpiringNotices::excuseCrashes().
+  void excuseCrashes(Instant Now, std::uint64_t Fingerprint);
   /// See ExpiringNotices::renewCrashes(). The other hosts get the notices again
   /// when theirs have expired.
   void renewCrashes(Instant Now, std::uint64_t Fingerprint) {
@@ -143,6 +144,10 @@
   void sendUnreachableHosts(const MemberRecord &Newcomer);
   std::vector<MemberRecord>
   unreachableHosts(const MemberRecord &Newcomer) const;
+  /// Merges a notice of a peer and returns whether it was news. Excuses it if
+  /// this host knows better.
+  bool mergeCrash(CrashNotice &Notice);
+  void tellExcuses();
   /// Compares this host's view with the digest and the table versions of the
   /// peer \p From, and sends the peer a summary if the digests differ. A host
   /// answers a summary with its own records that differ. Since both hosts
@@ -178,6 +183,8 @@
   std::mt19937_64 Random;
   ExpiringNotices Notices;
   CrashRecords Records;
+  /// Requests whose crashes this host excuses, and when it tells the others.
+  std::map<std::uint64_t, Instant> UntoldExcuses;
   /// Changes of members that this host observed and has not sent yet.
   std::map<HostName, MemberRecord> MemberUpdates;
   /// Whether the members changed since the last refreshMembers().
--- a/direct/request_flow.h
+++ b/direct/request_flow.h
@@ -117,6 +117,10 @@
   Instant nextTick() const;
 
   std::size_t openRequests() const { return Flows.size(); }
+  /// See CrashDetector::wasServedAround().
+  bool wasServed(Instant Now, std::uint64_t Fingerprint) const {
+    return Crashes.wasServedAround(Now, Fingerprint);
+  }
   /// What servers ask of this host.
   const ServerConstraints &constraints() const { return Constraints; }
   const FlowCounters &counters() const { return Counters; }
--- a/tests/direct/direct_node_crash_test.cpp
+++ b/tests/direct/direct_node_crash_test.cpp
@@ -44,7 +44,7 @@
                                  const std::vector<CrashNotice> &) {};
     Callbacks.Records.Remove = [](std::uint64_t) {};
     Node.emplace(Now, DirectNodeSettings{}, std::move(Callbacks));
-    Node->onRows(Now, StoreTable::Routes, {{"config", ++LastVersion}},
+    Node->onRows(Now, StoreTable::Routes, {{"config", ++LastVersion, false, ""}},
                  LastVersion);
   }
 
--- a/tests/direct/fleet_gossip_crash_test.cpp
+++ b/tests/direct/fleet_gossip_crash_test.cpp
@@ -27,6 +27,12 @@
       Result = std::min(Result, gossip(Number).crashes(Fingerprint));
     return Result;
   }
+  std::size_t mostKnown() {
+    std::size_t Result = 0;
+    for (unsigned Number = 0; Number < 6; ++Number)
+      Result = std::max(Result, gossip(Number).crashes(Fingerprint));
+    return Result;
+  }
 };
 
 TEST_F(FleetGossipCrashTest, addCrash_threeCrashes_areKnownToAllHostsAtOnce) {
@@ -69,7 +75,7 @@
 
 // Guards against refusing a request for good that servers run to its end.
 TEST_F(FleetGossipCrashTest, excuseCrashes_noticesExchangedAgain_stayExcused) {
-  gossip(2).excuseCrashes(Fingerprint);
+  gossip(2).excuseCrashes(Now, Fingerprint);
   startHost(5, "~2");
   advanceTime(5s);
   EXPECT_EQ(gossip(2).crashes(Fingerprint), 0U);
@@ -78,6 +84,59 @@
   EXPECT_EQ(gossip(2).crashes(Fingerprint), 1U);
 }
 
+// Guards against hosts that refuse a request which another one gets served.
+TEST_F(FleetGossipCrashTest, excuseCrashes_oneHost_allHostsExcuse) {
+  gossip(2).excuseCrashes(Now, Fingerprint);
+  advanceTime(100ms);
+  EXPECT_EQ(mostKnown(), 0U);
+}
+
+// Guards against a host that was paused while the others learnt that a request
+// is harmless, and refused it to the end.
+TEST_F(FleetGossipCrashTest, excuseCrashes_hostAwayMeanwhile_excusesToo) {
+  Hosts.at(addressOf(4)).Down = true;
+  gossip(2).excuseCrashes(Now, Fingerprint);
+  advanceTime(2500ms);
+  ASSERT_EQ(gossip(4).crashes(Fingerprint), 3U);
+  Hosts.at(addressOf(4)).Down = false;
+  advanceTime(3s);
+  EXPECT_EQ(mostKnown(), 0U);
+}
+
+TEST_F(FleetGossipCrashTest, excuseCrashes_hostRestarts_excusesToo) {
+  gossip(2).excuseCrashes(Now, Fingerprint);
+  advanceTime(100ms);
+  startHost(4, "~2");
+  advanceTime(3s);
+  EXPECT_EQ(mostKnown(), 0U);
+}
+
+// Guards against a report of a host that was paused or served no copy, which
+// puts a request under quarantine that others get served.
+TEST_F(FleetGossipCrashTest, addCrash_othersAreServed_isExcused) {
+  constexpr std::uint64_t Other = 9;
+  Hosts.at(addressOf(1)).Served.insert(Other);
+  for (const char *Server : {"a", "b", "c"})
+    gossip(0).addCrash(Now, Other, ServerName(Server));
+  advanceTime(100ms);
+  EXPECT_EQ(gossip(1).crashes(Other), 0U);
+  advanceTime(3s);
+  for (unsigned Number = 0; Number < 6; ++Number)
+    EXPECT_EQ(gossip(Number).crashes(Other), 0U) << Number;
+}
+
+// An excuse is for the crashes that were known; three more count again.
+TEST_F(FleetGossipCrashTest, addCrash_afterExcuse_countsAndIsRecorded) {
+  gossip(2).excuseCrashes(Now, Fingerprint);
+  advanceTime(3s);
+  ASSERT_TRUE(StoredCrashes.empty());
+  for (const char *Server : {"d", "e", "f"})
+    gossip(1).addCrash(Now, Fingerprint, ServerName(Server));
+  advanceTime(3s);
+  EXPECT_EQ(fewestKnown(), 3U);
+  EXPECT_EQ(StoredCrashes.at(Fingerprint).size(), 3U);
+}
+
 // Guards against sending a request to servers again because all hosts that knew
 // of its crashes were killed at once.
 TEST_F(FleetGossipCrashTest, tick_allHostsRestartAtOnce_noHostForgets) {
--- a/tests/direct/gossip_fleet.h
+++ b/tests/direct/gossip_fleet.h
@@ -9,6 +9,7 @@
 #include <map>
 #include <memory>
 #include <queue>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -38,6 +39,8 @@
         Result = std::max(Result, Mode);
       return Result;
     }
+    /// Requests that servers have just run to their end for this host.
+    std::set<std::uint64_t> Served;
     /// Member records that this host sent.
     std::uint64_t MembersSent = 0;
   };
@@ -94,6 +97,9 @@
       readTable(Hosts.at(Address), Table);
     };
     Callbacks.Log = [](const char *, const FlowFields &) {};
+    Callbacks.WasServed = [this, Address](std::uint64_t Fingerprint) {
+      return Hosts.at(Address).Served.contains(Fingerprint);
+    };
     Callbacks.Records = recordHooks(Address);
     NewHost.Gossip = std::make_unique<FleetGossip>(
         Settings,
--- a/tests/wire/peer_codec_test.cpp
+++ b/tests/wire/peer_codec_test.cpp
@@ -47,7 +47,7 @@
   Member.Age = 4s;
   const ConfigurationId ConfigId{Generation(5), "digest"};
   const ServiceLoad Load{ServiceName("s"), 1, 2, 3};
-  const CrashNotice Crash{11, ServerName("t"), 12, 6s};
+  const CrashNotice Crash{11, ServerName("t"), 12, 6s, true};
   AttemptResult Result;
   Result.End = AttemptEnd::Answered;
   Result.Reply = makeAnswer();
--- a/wire/view_codec.cpp
+++ b/wire/view_codec.cpp
@@ -18,11 +18,12 @@
   To.set_server(From.Server.value());
   To.set_event_id(From.EventId);
   To.set_remaining_us(From.Remaining.count());
+  To.set_excused(From.Excused);
 }
 
 CrashNotice readCrash(const wire::Crash &From) {
   return {From.fingerprint(), ServerName(From.server()), From.event_id(),
-          Duration(From.remaining_us())};
+          Duration(From.remaining_us()), From.excused()};
 }
 
 namespace {
