Judge a lost call by when it began

Callers saw: as in "Suspect no request that was served around the lost call", where servers are silent: such a call ends only after its deadline, so that the success before it may be more than 3 s older than its end.

Change: the 3 s are counted from the begin of the call. A request that becomes harmful at some moment is still counted for each call begun 3 s after its last success. Successes are remembered for 20 s, as calls last longer.

--- a/direct/crash_detector.cpp
+++ b/direct/crash_detector.cpp
@@ -5,16 +5,15 @@
 
 namespace mimosacart {
 
-void CrashDetector::addSuspect(Instant Now, const ServerName &Server,
-                               const std::string &Address,
-                               std::uint64_t Fingerprint) {
-  std::vector<Suspect> &Calls = Suspects[Server];
-  std::erase_if(Calls, [Now](const Suspect &Call) {
-    return Now - Call.Evidence.CallEndedAt > SuspicionLifetime;
+void CrashDetector::addSuspect(const CrashEvidence &Call) {
+  const Instant Now = Call.CallEndedAt;
+  std::vector<Suspect> &Calls = Suspects[Call.Server];
+  std::erase_if(Calls, [Now](const Suspect &Earlier) {
+    return Now - Earlier.Evidence.CallEndedAt > SuspicionLifetime;
   });
   if (Calls.size() == MaxSuspectsPerServer)
     Calls.erase(Calls.begin());
-  Calls.push_back({{Fingerprint, Server, Address, Now}, false});
+  Calls.push_back({Call, false});
 }
 
 void CrashDetector::onAnswered(const ServerName &Server) {
@@ -51,7 +50,7 @@
   for (const Suspect &Call : Calls) {
     if (Now - Call.Evidence.CallEndedAt > SuspicionLifetime)
       continue;
-    if (wasServedAround(Call.Evidence.CallEndedAt, Call.Evidence.Fingerprint))
+    if (wasServedAround(Call.Evidence.CallStartedAt, Call.Evidence.Fingerprint))
       continue;
     if (Call.ServerAnswered && !IncludeAnswered)
       Remaining.push_back(Call);
--- a/direct/crash_detector.h
+++ b/direct/crash_detector.h
@@ -22,6 +22,7 @@
   /// Where the call was sent. A process whose earlier ids are still in
   /// discovery has one address.
   std::string Address;
+  Instant CallStartedAt{};
   Instant CallEndedAt{};
 };
 
@@ -44,9 +45,8 @@
 
   explicit CrashDetector(CrashHook OnCrash) : OnCrash(std::move(OnCrash)) {}
 
-  /// A call with \p Fingerprint ended without an answer, or was cancelled.
-  void addSuspect(Instant Now, const ServerName &Server,
-                  const std::string &Address, std::uint64_t Fingerprint);
+  /// A call ended without an answer, or was cancelled.
+  void addSuspect(const CrashEvidence &Call);
   /// A server ran a request with \p Fingerprint to its end.
   void onServed(Instant Now, std::uint64_t Fingerprint) {
     Served.record(Now, Fingerprint);
--- a/direct/request_flow.cpp
+++ b/direct/request_flow.cpp
@@ -416,7 +416,8 @@
 void RequestFlow::cancelCall(Instant Now, CallId Id) {
   const OpenCall &Call = Calls.at(Id);
   ServerLoads.recordEnd(Call.Server);
-  Crashes.addSuspect(Now, Call.Server, Call.Address, Call.Fingerprint);
+  Crashes.addSuspect(
+      {Call.Fingerprint, Call.Server, Call.Address, Call.StartedAt, Now});
   Calls.erase(Id);
   Callbacks.Cancel(Id);
 }
--- a/direct/request_flow_crash.cpp
+++ b/direct/request_flow_crash.cpp
@@ -16,7 +16,8 @@
 }
 
 void RequestFlow::checkForCrash(Instant Now, const OpenCall &Call) {
-  Crashes.addSuspect(Now, Call.Server, Call.Address, Call.Fingerprint);
+  Crashes.addSuspect(
+      {Call.Fingerprint, Call.Server, Call.Address, Call.StartedAt, Now});
   const DiscoveredServer *Server = Registry.find(Call.Server);
   if (Server == nullptr) {
     Crashes.onEnded(Now, Call.Server);
--- a/direct/served_requests.h
+++ b/direct/served_requests.h
@@ -15,7 +15,7 @@
 /// least unless more than MaxRequests different ones are served meanwhile.
 class ServedRequests {
 public:
-  static constexpr Duration Lifetime = std::chrono::seconds(10);
+  static constexpr Duration Lifetime = std::chrono::seconds(20);
   /// Bounds the memory, a few hundred kilobytes.
   static constexpr std::size_t MaxRequests = 4096;
 
--- a/tests/direct/direct_node_crash_test.cpp
+++ b/tests/direct/direct_node_crash_test.cpp
@@ -44,8 +44,8 @@
                                  const std::vector<CrashNotice> &) {};
     Callbacks.Records.Remove = [](std::uint64_t) {};
     Node.emplace(Now, DirectNodeSettings{}, std::move(Callbacks));
-    Node->onRows(Now, StoreTable::Routes, {{"config", ++LastVersion, false, ""}},
-                 LastVersion);
+    Node->onRows(Now, StoreTable::Routes,
+                 {{"config", ++LastVersion, false, ""}}, LastVersion);
   }
 
   static std::variant<RouteConfigurationPtr, UnusableRow> makeConfiguration() {
@@ -184,6 +184,22 @@
   EXPECT_FALSE(isRefused(send()));
 }
 
+// Guards against the same where it takes the calls' whole time to notice it.
+TEST_F(DirectNodeCrashTest, onRequest_serversSilentAfterServed_isPassedOn) {
+  for (const char *Id : {"a", "b", "c"})
+    addServer(Id, Id);
+  send();
+  answerCalls();
+  advance(2s);
+  for (unsigned Copy = 0; Copy < 6; ++Copy)
+    send();
+  advance(2300ms);
+  for (const DirectCall &Call : std::exchange(OpenCalls, {}))
+    Node->onCallResult(Now, Call.Id, {CallEnd::TimedOut, {}});
+  answerProbes(false);
+  EXPECT_FALSE(isRefused(send()));
+}
+
 // A request that was harmless may crash servers from some moment on.
 TEST_F(DirectNodeCrashTest, onRequest_crashesLongAfterServedCopy_isRefused) {
   for (const char *Id : {"a", "b", "c"})
