Measure the failure detector of fleets in virtual time

The fleet of the gossip tests can now suspend hosts and lose messages, and reports what hosts log and send.

--- a/scripts/capacity.sh
+++ b/scripts/capacity.sh
@@ -1,6 +1,6 @@
 #!/usr/bin/env bash
 # Prints the slopes that docs/CAPACITY.md quotes.
-#   scripts/capacity.sh hosts|services|changes|restarts|decisions|process
+#   scripts/capacity.sh hosts|services|changes|restarts|detection|decisions|process
 set -euo pipefail
 cd "$(dirname "$0")/.."
 source scripts/fleet.sh
@@ -21,6 +21,7 @@
   for hosts in 12 24 48; do
     $slopes --hosts=$hosts "${target[@]}" --restarts_per_day=17280
   done ;;
+detection) build/bench/detection_bench ;;
 decisions) build/bench/decision_bench --benchmark_min_time=0.3 ;;
 process)
   # Memory and processor time of one real, idle entry host with the whole file.
--- a/tests/direct/gossip_fleet.h
+++ b/tests/direct/gossip_fleet.h
@@ -6,6 +6,7 @@
 
 #include <gtest/gtest.h>
 
+#include <functional>
 #include <map>
 #include <memory>
 #include <queue>
@@ -28,6 +29,8 @@
     bool Down = false;
     /// Messages between different parts of the network are lost.
     unsigned NetworkPart = 0;
+    /// The process is suspended until then. It reads its messages afterwards.
+    Instant SuspendedUntil{};
     /// Bytes of table rows that this host sent.
     std::uint64_t RowBytesSent = 0;
     std::map<StoreTable, ReadMode> Modes;
@@ -93,7 +96,11 @@
     Callbacks.ReadTable = [this, Address](StoreTable Table) {
       readTable(Hosts.at(Address), Table);
     };
-    Callbacks.Log = [](const char *, const FlowFields &) {};
+    Callbacks.Log = [this, Address](const char *Event,
+                                    const FlowFields &Fields) {
+      if (Logged)
+        Logged(Address, Event, Fields);
+    };
     Callbacks.Records = recordHooks(Address);
     NewHost.Gossip = std::make_unique<FleetGossip>(
         Settings,
@@ -149,6 +156,8 @@
     if (Hosts.at(From).Down)
       return;
     ++MessagesSent;
+    if (Sent)
+      Sent(From, Message);
     if (const auto *Updates = std::get_if<SoftState>(&Message.Body)) {
       Hosts.at(From).MembersSent += Updates->Members.size();
       if (Hosts.at(From).DataCentre != Hosts.at(To).DataCentre)
@@ -156,6 +165,8 @@
     }
     if (const auto *Rows = std::get_if<TableRows>(&Message.Body))
       countRows(From, To, *Rows);
+    if (Loses && Loses())
+      return;
     QueuedMessages.push({Now + 1ms, ++LastOrder, From, To, Message});
   }
 
@@ -163,15 +174,20 @@
     const Instant End = Now + Span;
     for (; Now < End; Now += 10ms) {
       while (!QueuedMessages.empty() && QueuedMessages.top().At <= Now) {
-        const QueuedMessage Delivered = QueuedMessages.top();
+        QueuedMessage Delivered = QueuedMessages.top();
         QueuedMessages.pop();
         Host &To = Hosts.at(Delivered.To);
+        if (Now < To.SuspendedUntil) {
+          Delivered.At = To.SuspendedUntil;
+          QueuedMessages.push(std::move(Delivered));
+          continue;
+        }
         const Host &From = Hosts.at(Delivered.From);
         if (!To.Down && To.NetworkPart == From.NetworkPart)
           To.Gossip->onMessage(Now, Delivered.Message);
       }
       for (auto &[Address, Node] : Hosts)
-        if (!Node.Down)
+        if (!Node.Down && Now >= Node.SuspendedUntil)
           Node.Gossip->tick(Now);
     }
   }
@@ -192,6 +208,13 @@
   std::priority_queue<QueuedMessage> QueuedMessages;
   std::uint64_t LastOrder = 0;
   std::uint64_t MessagesSent = 0;
+  /// Observe what a host logs and sends.
+  std::function<void(const std::string &Address, const char *Event,
+                     const FlowFields &Fields)>
+      Logged;
+  std::function<void(const std::string &Address, const PeerMessage &)> Sent;
+  /// Whether the network loses the next message.
+  std::function<bool()> Loses;
   /// Member records sent from one data centre to another.
   std::uint64_t MembersAcrossDataCentres = 0;
   /// Crashes recorded in the store, by the fingerprint of the request.
