Detect the loss of most hosts in a time that no fleet size lengthens

Cause: each host pings one other in 0.8 s, whatever happens. The hosts that are left ping 20 of 55 others in a period, so that one of many lost hosts is left out for long; with more hosts lost this takes longer. Change: once a ping has led to a suspicion, the host pings four others at once of which it has heard nothing since, and eight more each 300 ms while two in three of the last ones do not answer (ProbeBurst). A host that hears of no other itself, or that has run for less than 5 s, does not; addresses known by two names are left out, so that hosts that restart are not pinged from all data centres. Time in which the process was suspended is taken out of the waits for others, since it would now suspect all it had pinged.

--- a/core/membership.cpp
+++ b/core/membership.cpp
@@ -3,6 +3,8 @@
 #include "core/hash.h"
 
 #include <algorithm>
+#include <map>
+#include <string_view>
 #include <tuple>
 
 namespace mimosacart {
@@ -16,6 +18,9 @@
 /// a network partition.
 constexpr std::uint64_t SeedPingPeriods = 5;
 
+/// A host sends no additional pings for this long after its start.
+constexpr Duration NewcomerTime = std::chrono::seconds(5);
+
 /// Sort key of \p Record. Of two records of one host, the one with the greater
 /// key replaces the other.
 auto versionOf(const MemberRecord &Record) {
@@ -37,7 +42,7 @@
                        MembershipTimes Times, std::uint64_t Seed,
                        Hooks Callbacks)
     : Self(std::move(Self)), Seeds(std::move(SeedAddresses)), Times(Times),
-      Callbacks(std::move(Callbacks)), Random(Seed) {}
+      Callbacks(std::move(Callbacks)), Random(Seed), Burst(Times.AckTimeout) {}
 
 void Membership::setSeeds(std::vector<std::string> Addresses) {
   Seeds = std::move(Addresses);
@@ -48,8 +53,10 @@
 }
 
 void Membership::tick(Instant Now) {
+  skipSuspension(Now);
   checkPendingPings(Now);
   checkSuspicions(Now);
+  pingMore(Now);
   if (Now < NextPeriodAt)
     return;
   // Periods missed while the process was suspended are skipped.
@@ -81,6 +88,64 @@
   sendPing(Now, Members.at(Target).Record, std::nullopt);
 }
 
+void Membership::pingMore(Instant Now) {
+  if (!Burst.isDue(Now))
+    return;
+  const auto Unanswered = static_cast<std::size_t>(std::count_if(
+      BurstPings.begin(), BurstPings.end(), [this](std::uint64_t Sequence) {
+        return PendingPings.contains(Sequence);
+      }));
+  const std::size_t Count = Burst.next(Now, Unanswered, HeardAt);
+  BurstPings.clear();
+  std::vector<MemberRecord> Targets = silentPeers(Burst.since());
+  std::shuffle(Targets.begin(), Targets.end(), Random);
+  Targets.resize(std::min(Targets.size(), Count));
+  for (const MemberRecord &Target : Targets)
+    BurstPings.push_back(sendPing(Now, Target, std::nullopt));
+  Burst.onSent(Targets.size());
+}
+
+std::vector<MemberRecord> Membership::silentPeers(Instant Since) const {
+  // A process that has ended and the one that replaced it share an address.
+  std::map<std::string_view, std::size_t> Names;
+  for (const auto &[Host, Entry] : Members)
+    if (Entry.Record.Status <= MemberStatus::Suspect)
+      ++Names[Entry.Record.PeerAddress];
+  std::vector<MemberRecord> Result;
+  for (const auto &[Host, Entry] : Members) {
+    const bool IsSilent = Entry.HeardAt < Since && Entry.PingedAt < Since;
+    if (Entry.Record.Status == MemberStatus::Alive && IsSilent &&
+        Names.at(Entry.Record.PeerAddress) == 1)
+      Result.push_back(Entry.Record);
+  }
+  return Result;
+}
+
+void Membership::onHeard(Instant Now, const HostName &Host) {
+  const auto Found = Members.find(Host);
+  if (Found == Members.end())
+    return;
+  Found->second.HeardAt = Now;
+  HeardAt = Now;
+}
+
+void Membership::skipSuspension(Instant Now) {
+  const Instant Previous = std::exchange(LastTickAt, Now);
+  if (!StartedAt) {
+    StartedAt = Now;
+    return;
+  }
+  // Answers that arrived meanwhile may not have been read yet.
+  const Duration Suspended = Now - Previous - Times.AckTimeout;
+  if (Suspended <= Duration::zero())
+    return;
+  for (auto &[Sequence, Unanswered] : PendingPings)
+    Unanswered.SentAt += Suspended;
+  for (auto &[Host, Entry] : Members)
+    if (Entry.Record.Status == MemberStatus::Suspect)
+      Entry.UpdatedAt += Suspended;
+}
+
 void Membership::pingSeed() {
   std::vector<std::string> Candidates = Seeds;
   for (const auto &[Host, Entry] : Members)
@@ -114,12 +179,16 @@
   return {Sequence, Self, Extras.StateDigest, Extras.ConfigId, Extras.Tables};
 }
 
-void Membership::sendPing(
+std::uint64_t Membership::sendPing(
     Instant Now, const MemberRecord &Target,
     std::optional<std::pair<HostName, std::uint64_t>> RequestedBy) {
   const std::uint64_t Sequence = ++LastSequence;
   PendingPings[Sequence] = {Target.Host, Now, false, std::move(RequestedBy)};
+  const auto Found = Members.find(Target.Host);
+  if (Found != Members.end())
+    Found->second.PingedAt = Now;
   Callbacks.Send(Target.PeerAddress, makePing(Sequence));
+  return Sequence;
 }
 
 void Membership::checkPendingPings(Instant Now) {
@@ -129,16 +198,24 @@
     const Duration Age = Now - Unanswered.SentAt;
     if (Age >= Times.SuspectAfter) {
       if (!Unanswered.RequestedBy)
-        suspect(Now, Unanswered.Target);
+        onUnanswered(Now, Unanswered);
       PendingPings.erase(Position);
       continue;
     }
-    if (Age >= Times.AckTimeout && !Unanswered.Indirect &&
-        !Unanswered.RequestedBy)
-      requestIndirectPings(Position->first, Unanswered);
+    if (Age < Times.AckTimeout || Unanswered.Indirect || Unanswered.RequestedBy)
+      continue;
+    requestIndirectPings(Position->first, Unanswered);
   }
 }
 
+void Membership::onUnanswered(Instant Now, const PendingPing &Unanswered) {
+  suspect(Now, Unanswered.Target);
+  // The view of a new process names hosts that ended before it started. Those
+  // that have run longer detect them.
+  if (Now - *StartedAt >= NewcomerTime)
+    Burst.start(Now, Unanswered.SentAt, HeardAt);
+}
+
 void Membership::requestIndirectPings(std::uint64_t Sequence,
                                       PendingPing &Unanswered) {
   Unanswered.Indirect = true;
@@ -190,6 +267,7 @@
   merge(Now, Message.Self,
         From == Message.Self.Host ? UpdateSource::ObservedLocally
                                   : UpdateSource::Relayed);
+  onHeard(Now, Message.Self.Host);
   const PingExtras Extras = Callbacks.Extras();
   const MemberRecord *Sender = find(From);
   if (Sender == nullptr)
@@ -201,6 +279,7 @@
 
 void Membership::onAck(Instant Now, const Ack &Message) {
   merge(Now, Message.Self, UpdateSource::Relayed);
+  onHeard(Now, Message.Self.Host);
   const auto Found = PendingPings.find(Message.Sequence);
   if (Found == PendingPings.end())
     return;
@@ -239,7 +318,7 @@
     // A dead host that was never in the view does not need a record.
     if (Received.Status == MemberStatus::Dead)
       return false;
-    Members[Received.Host] = {Received, Now - Received.Age};
+    Members[Received.Host] = {Received, Now - Received.Age, {}, {}};
     Callbacks.Changed(Received, Source);
     return true;
   }
@@ -250,9 +329,10 @@
   if (!overrides(Received, Known))
     return false;
   const bool SameIncarnation = Known.Incarnation == Received.Incarnation;
-  Found->second = {Received, Now - Received.Age};
+  Known = Received;
+  Found->second.UpdatedAt = Now - Received.Age;
   if (SameIncarnation)
-    Found->second.Record.Epoch = Epoch;
+    Known.Epoch = Epoch;
   Callbacks.Changed(Received, Source);
   return true;
 }
--- a/core/membership.h
+++ b/core/membership.h
@@ -5,6 +5,7 @@
 
 #include "core/ids.h"
 #include "core/peer_messages.h"
+#include "core/probe_burst.h"
 #include "core/time.h"
 
 #include <cstdint>
@@ -133,6 +134,10 @@
     MemberRecord Record;
     /// When the record was last added or replaced, or changed its status.
     Instant UpdatedAt{};
+    /// When the host last sent a ping or an ack.
+    Instant HeardAt{};
+    /// When this host last pinged it.
+    Instant PingedAt{};
   };
   struct PendingPing {
     HostName Target;
@@ -146,15 +151,24 @@
 
   void pingNext(Instant Now);
   void pingSeed();
+  /// Sends the additional pings that are due after one was not answered.
+  void pingMore(Instant Now);
+  /// Hosts of which nothing is known since \p Since.
+  std::vector<MemberRecord> silentPeers(Instant Since) const;
+  void onHeard(Instant Now, const HostName &Host);
+  /// Takes time in which this host was suspended out of the waits for others.
+  void skipSuspension(Instant Now);
   void checkPendingPings(Instant Now);
   void checkSuspicions(Instant Now);
+  void onUnanswered(Instant Now, const PendingPing &Unanswered);
   void requestIndirectPings(std::uint64_t Sequence, PendingPing &Unanswered);
   void suspect(Instant Now, const HostName &Host);
   void applyStatus(Instant Now, Member &Target, MemberStatus Status,
                    UpdateSource Source);
   void refute(const MemberRecord &Received);
-  void sendPing(Instant Now, const MemberRecord &Target,
-                std::optional<std::pair<HostName, std::uint64_t>> RequestedBy);
+  std::uint64_t
+  sendPing(Instant Now, const MemberRecord &Target,
+           std::optional<std::pair<HostName, std::uint64_t>> RequestedBy);
   void announceSelf();
   Ping makePing(std::uint64_t Sequence) const;
 
@@ -172,6 +186,13 @@
   std::uint64_t PeriodCount = 0;
   std::uint64_t LastSequence = 0;
   Instant NextPeriodAt{};
+  ProbeBurst Burst;
+  /// Additional pings whose answers decide on the next ones.
+  std::vector<std::uint64_t> BurstPings;
+  /// When the last message of another host arrived.
+  std::optional<Instant> HeardAt;
+  std::optional<Instant> StartedAt;
+  Instant LastTickAt{};
 };
 
 /// Index of the group of \p Host when hosts are split into \p Buckets groups.
--- /dev/null
+++ b/tests/core/membership_test.cpp
@@ -0,0 +1,68 @@
+/// \file
+/// The failure detector of one host.
+#include "core/membership.h"
+
+#include <gtest/gtest.h>
+
+#include <algorithm>
+#include <utility>
+
+namespace mimosacart {
+namespace {
+
+using namespace std::chrono_literals;
+
+class MembershipTest : public testing::Test {
+protected:
+  static MemberRecord recordOf(const std::string &Name) {
+    MemberRecord Result;
+    Result.Host = HostName(Name);
+    Result.Incarnation = IncarnationId(1);
+    Result.PeerAddress = "peer-" + Name;
+    return Result;
+  }
+  MemberStatus statusOf(const std::string &Name) const {
+    return Members.find(HostName(Name))->Status;
+  }
+  std::size_t countSent(const std::string &Address) const {
+    return static_cast<std::size_t>(
+        std::count_if(Sent.begin(), Sent.end(), [&Address](const auto &Entry) {
+          return Entry.first == Address;
+        }));
+  }
+
+  Instant Now{1h};
+  MembershipTimes Times;
+  std::vector<std::pair<std::string, PeerBody>> Sent;
+  Membership Members{recordOf("self"),
+                     {},
+                     Times,
+                     1,
+                     {[this](const std::string &Address, PeerBody Body) {
+                        Sent.emplace_back(Address, std::move(Body));
+                      },
+                      [](const MemberRecord &, UpdateSource) {},
+                      [] { return PingExtras(); }}};
+};
+
+// Guards against a process that suspects others since it did not run itself.
+TEST_F(MembershipTest, tick_processWasSuspended_suspectsNone) {
+  Members.merge(Now, recordOf("a"), UpdateSource::Relayed);
+  Members.tick(Now);
+  ASSERT_EQ(countSent("peer-a"), 1U);
+  Now += 3s;
+  Members.tick(Now);
+  EXPECT_EQ(statusOf("a"), MemberStatus::Alive);
+}
+
+TEST_F(MembershipTest, tick_processTicksSlowly_suspectsWhoDoesNotAnswer) {
+  Members.merge(Now, recordOf("a"), UpdateSource::Relayed);
+  for (unsigned Step = 0; Step < 6; ++Step) {
+    Members.tick(Now);
+    Now += Times.AckTimeout + 50ms;
+  }
+  EXPECT_EQ(statusOf("a"), MemberStatus::Suspect);
+}
+
+} // namespace
+} // namespace mimosacart
--- a/tests/direct/fleet_gossip_test.cpp
+++ b/tests/direct/fleet_gossip_test.cpp
@@ -2,6 +2,11 @@
 /// Views of the members of a fleet.
 #include "tests/direct/gossip_fleet.h"
 
+#include <algorithm>
+#include <random>
+#include <string_view>
+#include <tuple>
+
 namespace mimosacart {
 namespace {
 
@@ -71,5 +76,80 @@
   EXPECT_EQ(countHostsWithFullView(), Count - Dead);
 }
 
+/// Fleets of a number of hosts of which a share is lost at once.
+class FleetGossipLossTest
+    : public FleetGossipTest,
+      public testing::WithParamInterface<std::tuple<unsigned, double>> {
+protected:
+  FleetGossipLossTest() {
+    startFleet(Count);
+    advanceTime(8s);
+  }
+  void setPart(unsigned Part) {
+    for (unsigned Number = 0; Number < Lost; ++Number)
+      Hosts.at(addressOf(Number)).NetworkPart = Part;
+  }
+
+  const unsigned Count = std::get<0>(GetParam());
+  const unsigned Lost = static_cast<unsigned>(std::get<1>(GetParam()) * Count);
+};
+
+// Guards against a detection time that grows with the number of hosts lost.
+TEST_P(FleetGossipLossTest, tick_hostsDieAtOnce_allAreDetectedWithin6s) {
+  for (unsigned Number = 0; Number < Lost; ++Number)
+    Hosts.at(addressOf(Number)).Down = true;
+  advanceTime(6s);
+  EXPECT_EQ(countHostsWithFullView(), Count - Lost);
+}
+
+INSTANTIATE_TEST_SUITE_P(AnySize, FleetGossipLossTest,
+                         testing::Combine(testing::Values(20U, 56U, 189U, 400U),
+                                          testing::Values(0.55, 0.65)));
+
+/// Counts what hosts that all run send, and whom they take for lost.
+class FleetGossipCalmTest : public FleetGossipTest,
+                            public testing::WithParamInterface<unsigned> {
+protected:
+  FleetGossipCalmTest() {
+    startFleet(Count);
+    advanceTime(8s);
+    MessagesSent = 0;
+    Logged = [this](const std::string &, const char *Event,
+                    const FlowFields &Fields) {
+      const auto IsSuspicion = [](const auto &Field) {
+        return Field.second == toString(MemberStatus::Suspect);
+      };
+      if (std::string_view(Event) == "member_changed" &&
+          std::any_of(Fields.begin(), Fields.end(), IsSuspicion))
+        ++Suspicions;
+    };
+  }
+
+  const unsigned Count = GetParam();
+  std::uint64_t Suspicions = 0;
+};
+
+TEST_P(FleetGossipCalmTest, tick_atRest_onePingPerPeriodIsSent) {
+  constexpr unsigned Periods = 20;
+  advanceTime(Periods * 800ms);
+  // A period more or less, as those of the hosts begin at different times.
+  EXPECT_LE(MessagesSent, Count * 2 * (Periods + 1));
+  EXPECT_EQ(Suspicions, 0U);
+}
+
+// Guards against additional pings that cause each other while links lose
+// messages.
+TEST_P(FleetGossipCalmTest, tick_linksLoseMessages_fewPingsAreAdded) {
+  std::mt19937_64 Random(1);
+  std::bernoulli_distribution IsLost(0.02);
+  Loses = [&] { return IsLost(Random); };
+  constexpr unsigned Periods = 20;
+  advanceTime(Periods * 800ms);
+  EXPECT_LE(MessagesSent, Count * 4 * Periods);
+}
+
+INSTANTIATE_TEST_SUITE_P(AnySize, FleetGossipCalmTest,
+                         testing::Values(20U, 189U));
+
 } // namespace
 } // namespace mimosacart
