--- a/direct/fleet_gossip.cpp
+++ b/direct/fleet_gossip.cpp
@@ -372,6 +372,7 @@
 void FleetGossip::handle(const HostName &From, const SoftState &Message) {
   // Records already known here were forwarded when they first arrived.
   Size.onToldMembers(Now, Message.Members);
+  const std::uint32_t Refutation = Members.self().Refutation;
   SoftState Updates;
   for (const MemberRecord &Record : Message.Members) {
     const bool IsNew = Members.find(Record.Host) == nullptr;
@@ -382,6 +383,10 @@
         position(Record.PeerAddress).Reachable.Rank < HostsThatTellNewcomers)
       sendUnreachableHosts(Record);
   }
+  // The sender is not among the peers if it was taken for lost as well.
+  const MemberRecord *Sender = Members.find(From);
+  if (Members.self().Refutation != Refutation && Sender != nullptr)
+    Members.introduceTo(Sender->PeerAddress);
   for (CrashNotice Notice : Message.Crashes)
     if (mergeCrash(Notice))
       Updates.Crashes.push_back(std::move(Notice));
@@ -401,9 +406,10 @@
     return false;
   if (Notice.Excused && !Told)
     UntoldExcuses.try_emplace(
-        Fingerprint, Now + ExcuseDelayPerRank *
-                               static_cast<Duration::rep>(
-                                   position(std::to_string(Fingerprint)).Rank));
+        Fingerprint,
+        Now + ExcuseDelayPerRank *
+                  static_cast<Duration::rep>(
+                      position(std::to_string(Fingerprint)).Reachable.Rank));
   Callbacks.Log("crash_told",
                 {{"fingerprint", std::to_string(Notice.Fingerprint)},
                  {"server", Notice.Server.value()},
