Let the soak go on only when a new host process runs its program

Cause: fork() copies all descriptors. Until the child has closed them, it holds the listening sockets of the stand-ins, so that a server that is started again at its address cannot listen, and ends of connections are not seen.

Change: HostProcess::start() returns when the program has replaced the child, told by a pipe that is closed on exec.

--- a/soak/host_process.cpp
+++ b/soak/host_process.cpp
@@ -1,5 +1,7 @@
 #include "soak/host_process.h"
 
+#include <array>
+#include <cerrno>
 #include <csignal>
 #include <fcntl.h>
 #include <fstream>
@@ -15,6 +17,15 @@
 /// Descriptors below this number are closed in the child process.
 constexpr int DescriptorLimit = 4096;
 
+/// Waits until no process holds the write end of \p Pipe any more.
+void awaitEnd(const std::array<int, 2> &Pipe) {
+  close(Pipe[1]);
+  char Byte = 0;
+  while (read(Pipe[0], &Byte, 1) < 0 && errno == EINTR) {
+  }
+  close(Pipe[0]);
+}
+
 } // namespace
 
 HostProcess::HostProcess(std::string Program, std::string SettingsPath,
@@ -30,11 +41,17 @@
 }
 
 void HostProcess::start() {
+  // The write end is closed when the program has replaced the child process.
+  std::array<int, 2> ExecPipe{};
+  if (pipe2(ExecPipe.data(), O_CLOEXEC) != 0)
+    throw std::runtime_error("cannot open a pipe for a host process");
   ProcessId = fork();
   if (ProcessId < 0)
     throw std::runtime_error("cannot fork a host process");
-  if (ProcessId > 0)
+  if (ProcessId > 0) {
+    awaitEnd(ExecPipe);
     return;
+  }
   constexpr int LogMode = 0644;
   const int LogDescriptor =
       open(LogPath.c_str(), O_WRONLY | O_CREAT | O_APPEND, LogMode);
@@ -44,7 +61,8 @@
   // open after the soak process ends.
   for (int Descriptor = STDERR_FILENO + 1; Descriptor < DescriptorLimit;
        ++Descriptor)
-    close(Descriptor);
+    if (Descriptor != ExecPipe[1])
+      close(Descriptor);
   prctl(PR_SET_PDEATHSIG, SIGKILL);
   const std::string SettingsArgument = "--settings=" + SettingsPath;
   execl(Program.c_str(), Program.c_str(), SettingsArgument.c_str(), nullptr);
--- a/soak/host_process.h
+++ b/soak/host_process.h
@@ -17,7 +17,9 @@
   HostProcess(const HostProcess &) = delete;
   HostProcess &operator=(const HostProcess &) = delete;
 
-  /// Starts the program; its output is appended to the log file.
+  /// Starts the program; its output is appended to the log file. Until it runs,
+  /// the new process holds copies of all descriptors, also of listening sockets
+  /// that are closed meanwhile, so this waits for that.
   void start();
   /// Sends \p Signal to the process if one was started and its end has not been
   /// detected.
