Give no answer of the store to a call of another kind or table

Effect, shown by tests on the old code: the changes of another table were taken for those of the own one, with a later version, so that the own changes up to it would never have been asked for; changes were taken for a whole table; a write counted as done since an earlier one was.

Change: HttpCall::Channel; calls of different channels share no connection. A channel keeps one idle connection.

Weighed: closing a connection that shows a surplus byte (the client looks when it takes one, but not between that and the answer); not believing an answer that comes too soon (no bound is right for a store that answers at once).

The older kind of host: its servers echo no id, so that an identity would tell nothing.

--- a/net/http_client.cpp
+++ b/net/http_client.cpp
@@ -4,7 +4,7 @@
 
 #include <algorithm>
 #include <deque>
-#include <unordered_map>
+#include <map>
 
 namespace mimosacart {
 
@@ -65,8 +65,9 @@
   /// Takes the most recently used connection that is still open, was not idle
   /// for too long and may carry \p Call; nothing if there is none.
   std::optional<ClientConnection> take(const HttpCall &Call);
-  /// Adds an idle connection to the pool and drops the oldest if it is full.
-  void keep(const std::string &Address, ClientConnection Connection);
+  /// Adds an idle connection to the pool of \p Call and drops the oldest if it
+  /// is full.
+  void keep(const HttpCall &Call, ClientConnection Connection);
   /// A connection that is not open yet.
   ClientConnection makeConnection();
 
@@ -74,12 +75,14 @@
   const std::size_t MaxBodyBytes;
   const std::shared_ptr<MemoryBudget> Memory;
   const InvalidMessageHook ReportInvalid;
-  std::unordered_map<std::string, std::deque<IdleConnection>> Idle;
+  /// The idle connections of each address and channel.
+  std::map<std::pair<std::string, std::string>, std::deque<IdleConnection>>
+      Idle;
   std::uint64_t LastConnection = 0;
 };
 
 std::optional<ClientConnection> HttpClient::Impl::take(const HttpCall &Call) {
-  std::deque<IdleConnection> &Pool = Idle[Call.Address];
+  std::deque<IdleConnection> &Pool = Idle[{Call.Address, Call.Channel}];
   const auto Now = std::chrono::steady_clock::now();
   auto Next = Pool.end();
   while (Next != Pool.begin()) {
@@ -99,11 +102,10 @@
   return std::nullopt;
 }
 
-void HttpClient::Impl::keep(const std::string &Address,
-                            ClientConnection Connection) {
-  std::deque<IdleConnection> &Pool = Idle[Address];
+void HttpClient::Impl::keep(const HttpCall &Call, ClientConnection Connection) {
+  std::deque<IdleConnection> &Pool = Idle[{Call.Address, Call.Channel}];
   Pool.push_back({std::move(Connection), std::chrono::steady_clock::now()});
-  if (Pool.size() > MaxIdleConnections)
+  if (Pool.size() > (Call.Channel.empty() ? MaxIdleConnections : 1))
     Pool.pop_front();
 }
 
@@ -332,7 +334,7 @@
   if (Reusable) {
     stream().expires_never();
     ++Connection->Use.EarlierCalls;
-    Pool->keep(Call.Address, std::move(*Connection));
+    Pool->keep(Call, std::move(*Connection));
     Connection.reset();
   } else {
     stream().close();
--- a/net/http_client.h
+++ b/net/http_client.h
@@ -43,6 +43,10 @@
   /// connection then carries no other call with the same identity, since a late
   /// copy of the response would be accepted there. An empty hook means never.
   std::function<bool(const HttpResponse &)> MayBeSentAgain;
+  /// Calls with different channels never share a connection, so that a surplus
+  /// response to one is not accepted by another. A channel other than the empty
+  /// one is for calls that follow each other; it keeps one idle connection.
+  std::string Channel;
   /// How long a connection may have been idle to be reused for this call; zero
   /// always opens a new connection.
   Duration MaxIdle = std::chrono::seconds(30);
@@ -54,13 +58,14 @@
 class HttpCallHandle {
 public:
   virtual ~HttpCallHandle() = default;
-  /// Ends the call without a result and closes its connection.
+  /// Ends the call without a result and resets its connection.
   virtual void cancel() = 0;
 };
 
 /// Makes HTTP calls, one at a time on each connection. A connection whose call
-/// failed, timed out or was cancelled is closed and not reused. A response may
-/// arrive before the request is completely written.
+/// failed, timed out or was cancelled is reset and not reused, so that a
+/// request that was given up does not arrive later. A response may arrive
+/// before the request is completely written.
 class HttpClient {
 public:
   using DoneHook = std::function<void(HttpResult)>;
--- a/tests/platform/store_client_test.cpp
+++ b/tests/platform/store_client_test.cpp
@@ -2,9 +2,13 @@
 
 #include "net/asio.h"
 #include "net/http_server.h"
+#include "tests/standins/scripted_server.h"
 
 #include <gtest/gtest.h>
 
+#include <fmt/format.h>
+#include <map>
+
 namespace mimosacart {
 namespace {
 
@@ -137,5 +141,105 @@
   EXPECT_EQ(Received.value().Rows.front().Version, StoreVersion(4, 6));
 }
 
+/// A store that writes its first answer on a connection again before the answer
+/// to the second call there.
+class StoreSurplusAnswerTest : public testing::Test {
+protected:
+  static std::string makeAnswer(const std::string &Key, unsigned Version) {
+    const std::string Body =
+        fmt::format(R"({{"rows":[{{"key":"{}","value":"aGk=","ver":{}}}],)"
+                    R"("ver":{}}})",
+                    Key, Version, Version);
+    return fmt::format("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{}",
+                       Body.size(), Body);
+  }
+
+  void onCall(std::size_t Connection, const std::string &Head) {
+    const bool IsOfOther = Head.find("table=other") != std::string::npos;
+    const std::string Answer = IsOfOther                  ? makeAnswer("o", 9)
+                               : Head.starts_with("POST") ? makeAnswer("w", 7)
+                                                          : makeAnswer("k", 6);
+    if (RepeatsAnswers && Earlier.contains(Connection))
+      Server.write(Connection, Earlier.at(Connection));
+    Earlier.emplace(Connection, Answer);
+    if (!IsSilent)
+      Server.write(Connection, Answer);
+  }
+
+  StoreClient::RowsHook keepRows() {
+    return [this](StoreResult<StoreRows> Result) { Rows = std::move(Result); };
+  }
+  void run() {
+    Context.restart();
+    Context.run_for(100ms);
+  }
+  void expectRow(const std::string &Key, unsigned Version) {
+    ASSERT_TRUE(Rows.has_value());
+    EXPECT_EQ(Rows.value().Version, Version);
+    ASSERT_EQ(Rows.value().Rows.size(), 1U);
+    EXPECT_EQ(Rows.value().Rows[0].Key, Key);
+  }
+
+  asio::io_context Context;
+  std::map<std::size_t, std::string> Earlier;
+  bool RepeatsAnswers = true;
+  bool IsSilent = false;
+  ScriptedServer Server{
+      Context, [this](std::size_t Connection, const std::string &Head) {
+        onCall(Connection, Head);
+      }};
+  HttpClient Http{Context, 1U << 20U};
+  StoreClient Store{Http, Server.address(), 1s};
+  StoreResult<StoreRows> Rows = StoreError::Unavailable;
+};
+
+// Guards against the changes of one table that are taken for those of another,
+// whose own changes up to that version are then never asked for.
+TEST_F(StoreSurplusAnswerTest, awaitChanges_answerOfOtherTable_isNotTaken) {
+  Store.awaitChanges("other", 5, 1s, keepRows());
+  run();
+  expectRow("o", 9);
+  Store.awaitChanges("t", 5, 1s, keepRows());
+  run();
+  expectRow("k", 6);
+}
+
+// Guards against changes that are taken for the whole table.
+TEST_F(StoreSurplusAnswerTest, readRows_answerOfOtherCall_isNotTaken) {
+  Store.awaitChanges("other", 5, 1s, keepRows());
+  run();
+  Store.readRows("t", "", keepRows());
+  run();
+  expectRow("k", 6);
+  Store.readRows("other", "", keepRows());
+  run();
+  expectRow("o", 9);
+}
+
+// Guards against a write that counts as done since an earlier one was.
+TEST_F(StoreSurplusAnswerTest, writeRow_answerOfEarlierWrite_isNotTaken) {
+  StoreResult<void> Written = StoreError::Unavailable;
+  const auto Keep = [&Written](StoreResult<void> Result) { Written = Result; };
+  Store.writeRow("t", "a", "1", Keep);
+  run();
+  EXPECT_TRUE(Written.has_value());
+  Written = StoreError::Unavailable;
+  IsSilent = true;
+  Store.writeRow("t", "b", "2", Keep);
+  run();
+  EXPECT_TRUE(Written.has_error());
+}
+
+TEST_F(StoreSurplusAnswerTest, awaitChanges_sameTable_usesOneConnection) {
+  RepeatsAnswers = false;
+  Store.readRows("t", "", keepRows());
+  run();
+  for (int Call = 0; Call < 3; ++Call) {
+    Store.awaitChanges("t", 5, 1s, keepRows());
+    run();
+  }
+  EXPECT_EQ(Server.connections(), 1U);
+}
+
 } // namespace
 } // namespace mimosacart
