--- a/soak/host_process.cpp
+++ b/soak/host_process.cpp
@@ -3,7 +3,6 @@
 #include <array>
 #include <cerrno>
 #include <csignal>
-#include <cstdlib>
 #include <fcntl.h>
 #include <fstream>
 #include <limits>
@@ -28,10 +27,9 @@
 } // namespace
 
 HostProcess::HostProcess(std::string Program, std::string SettingsPath,
-                         std::string LogPath,
-                         std::vector<std::string> Environment)
+                         std::string LogPath)
     : Program(std::move(Program)), SettingsPath(std::move(SettingsPath)),
-      LogPath(std::move(LogPath)), Environment(std::move(Environment)) {}
+      LogPath(std::move(LogPath)) {}
 
 HostProcess::~HostProcess() {
   if (!running())
@@ -62,8 +60,6 @@
   close_range(STDERR_FILENO + 1, std::numeric_limits<unsigned>::max(),
               CLOSE_RANGE_CLOEXEC);
   prctl(PR_SET_PDEATHSIG, SIGKILL);
-  for (std::string &Variable : Environment)
-    putenv(Variable.data());
   const std::string SettingsArgument = "--settings=" + SettingsPath;
   execl(Program.c_str(), Program.c_str(), SettingsArgument.c_str(), nullptr);
   _exit(127);
--- a/soak/host_process.h
+++ b/soak/host_process.h
@@ -5,17 +5,14 @@
 #include <cstddef>
 #include <string>
 #include <sys/types.h>
-#include <vector>
 
 namespace mimosacart {
 
 /// Owns one process; the destructor kills that process and no other.
 class HostProcess {
 public:
-  /// \p Environment are variables, as NAME=VALUE, that the process gets besides
-  /// those of this one.
   HostProcess(std::string Program, std::string SettingsPath,
-              std::string LogPath, std::vector<std::string> Environment = {});
+              std::string LogPath);
   ~HostProcess();
   HostProcess(const HostProcess &) = delete;
   HostProcess &operator=(const HostProcess &) = delete;
@@ -39,7 +36,6 @@
   const std::string Program;
   const std::string SettingsPath;
   const std::string LogPath;
-  std::vector<std::string> Environment;
   /// -1 if no process runs.
   pid_t ProcessId = -1;
   int LastStatus = 0;
--- a/soak/soak.cpp
+++ b/soak/soak.cpp
@@ -21,9 +21,6 @@
 constexpr const char *EndlessService = "endless";
 constexpr std::size_t MaxBodyBytes = 64U << 20U;
 constexpr unsigned FirstPort = 18080;
-/// Where hosts listen for peers if they are cut off from each other. The proxy
-/// listens on the next one.
-constexpr unsigned PeerPort = 18070;
 /// How long before the end of a run all hosts must have recovered and apply the
 /// last configuration.
 constexpr auto RecoveredBeforeEnd = 2500ms;
@@ -196,11 +193,11 @@
   static std::vector<std::string> PeerSeeds;
   if (Index == 0)
     PeerSeeds.clear();
-  PeerSeeds.push_back(allocatePeerAddress(Host));
+  PeerSeeds.push_back(allocateAddress());
   // With fewer seeds, the others must be found.
   constexpr std::size_t FewSeeds = 3;
   std::vector<std::string> ToldSeeds = PeerSeeds;
-  if (Options.RetryTrouble || Options.CutTrouble)
+  if (Options.RetryTrouble)
     ToldSeeds.resize(std::min(FewSeeds, ToldSeeds.size()));
   std::ofstream File(Path);
   File << fmt::format(
@@ -218,34 +215,10 @@
       Options.Retries.Window.count());
   File.close();
   Host.Process = std::make_unique<HostProcess>(
-      Options.Program, Path, Options.Folder + "/" + Name + ".log",
-      hostEnvironment(Host));
+      Options.Program, Path, Options.Folder + "/" + Name + ".log");
   Host.Process->start();
 }
 
-std::string Soak::allocatePeerAddress(EntryHost &Host) {
-  if (!Options.CutTrouble)
-    return allocateAddress();
-  const std::string Allocated = allocateAddress();
-  Host.SourceAddress = Allocated.substr(0, Allocated.find(':'));
-  std::string Result = fmt::format("{}:{}", Host.SourceAddress, PeerPort);
-  const std::string ProxyAddress =
-      fmt::format("{}:{}", Host.SourceAddress, PeerPort + 1);
-  Host.PeerProxy = std::make_unique<FaultProxy>(Context, Result);
-  if (!Host.PeerProxy->listen(ProxyAddress))
-    throw std::runtime_error("cannot listen on peer proxy address " +
-                             ProxyAddress);
-  return Result;
-}
-
-std::vector<std::string> Soak::hostEnvironment(const EntryHost &Host) const {
-  if (!Options.CutTrouble)
-    return {};
-  return {"LD_PRELOAD=" + Options.SourceLibrary,
-          "SOAK_SOURCE_ADDRESS=" + Host.SourceAddress,
-          fmt::format("SOAK_PEER_PORT={}", PeerPort)};
-}
-
 std::vector<std::string> Soak::run() {
   StartedAt = std::chrono::steady_clock::now();
   const SoakTime End = StartedAt + Options.Length;
@@ -257,7 +230,6 @@
   scheduleRestarts();
   scheduleEndlessPeers();
   scheduleRetryTrouble();
-  scheduleCutTrouble();
   // The last change of the configuration. Every host must apply it when
   // RecoveredBeforeEnd is left of the run.
   runAfter(std::chrono::duration_cast<std::chrono::milliseconds>(
@@ -276,7 +248,7 @@
 void Soak::sendRequests() {
   if (!IsSending)
     return;
-  sendRequest(Options.CutTrouble);
+  sendRequest();
   const double MeanMs = 1000.0 / Options.RequestsPerSecond;
   const double DelayMs =
       std::exponential_distribution<double>(1 / MeanMs)(Random);
@@ -284,7 +256,7 @@
            [this] { sendRequests(); });
 }
 
-void Soak::sendRequest(bool MayRepeat) {
+void Soak::sendRequest() {
   const std::size_t HostIndex = drawIndex(Hosts.size());
   ObservedRequest Request;
   Request.Id = fmt::format("r-{}-{}", Options.Seed, ++LastRequestNumber);
@@ -298,30 +270,22 @@
   Call.ConnectTimeout = 1s;
   Call.Timeout = 4s;
   Call.MaxIdle = 10s;
-  // Requests that are alike are quarantined together, and then none is
-  // repeated.
-  const unsigned Item = Options.CutTrouble ? LastRequestNumber : 1;
-  Call.Request = {
-      Request.Idempotent ? "GET" : "POST",
-      fmt::format("/{}/{}", Request.Idempotent ? "read" : "once", Item),
-      {{"Host", "soak.example"},
-       {"X-Request-Id", Request.Id},
-       {"X-Deadline-Ms", "2500"}},
-      "",
-      ""};
+  Call.Request = {Request.Idempotent ? "GET" : "POST",
+                  Request.Idempotent ? "/read/1" : "/once/1",
+                  {{"Host", "soak.example"},
+                   {"X-Request-Id", Request.Id},
+                   {"X-Deadline-Ms", "2500"}},
+                  "",
+                  ""};
   const std::string Id = Checker.addRequest(std::move(Request)).Id;
-  CallerClient.call(
-      std::move(Call), [this, Id, MayRepeat](const HttpResult &Result) {
-        if (Result.has_value())
-          Checker.onRequestEnded(Id, Result.value().Status,
-                                 Result.value().Body.bytes(), false);
-        else
-          Checker.onRequestEnded(Id, 0, "",
-                                 Result.error() == NetError::ConnectFailed);
-        if (MayRepeat && IsSending &&
-            (!Result.has_value() || Result.value().Status >= 400))
-          sendRequest(false);
-      });
+  CallerClient.call(std::move(Call), [this, Id](const HttpResult &Result) {
+    if (Result.has_value())
+      Checker.onRequestEnded(Id, Result.value().Status,
+                             Result.value().Body.bytes(), false);
+    else
+      Checker.onRequestEnded(Id, 0, "",
+                             Result.error() == NetError::ConnectFailed);
+  });
 }
 
 /// Restarts host processes that ended, as the platform does.
