Test that only the served request is excused

Two tests of the rule that a request which crashes its servers stops: other requests that are served excuse nothing, at one host over 30 s and in a fleet in which hosts were away and restart.

--- a/tests/direct/direct_node_crash_test.cpp
+++ b/tests/direct/direct_node_crash_test.cpp
@@ -83,11 +83,11 @@
     Node->onRows(Now, StoreTable::Servers, {Row}, LastVersion);
   }
 
-  /// Sends a request; all requests are alike.
-  RequestId send() {
+  /// Sends a request; those with one target are alike.
+  RequestId send(const std::string &Target = "/x") {
     CallerRequest Request;
     Request.Method = "POST";
-    Request.Target = "/x";
+    Request.Target = Target;
     const RequestId Id(++LastRequest);
     Node->onRequest(Now, Id, "a.example",
                     std::make_shared<const CallerRequest>(Request));
@@ -230,6 +230,22 @@
   EXPECT_FALSE(isRefused(send()));
 }
 
+// Requests that servers run to their end excuse no other one.
+TEST_F(DirectNodeCrashTest, onRequest_othersAreServed_harmfulOneStaysRefused) {
+  for (const char *Id : {"a", "b", "c"})
+    addServer(Id, Id);
+  send("/y");
+  answerCalls();
+  crashEachServer(3);
+  for (unsigned Second = 0; Second < 30; ++Second) {
+    advance(1s);
+    EXPECT_TRUE(isRefused(send()));
+    const RequestId Other = send("/y");
+    answerCalls();
+    EXPECT_FALSE(isRefused(Other));
+  }
+}
+
 // Guards against throwing away an answer that comes after its caller has left.
 TEST_F(DirectNodeCrashTest, onCallResult_servedAfterCallerLeft_isReleased) {
   for (const char *Id : {"a", "b", "c", "d"})
--- a/tests/direct/fleet_gossip_crash_test.cpp
+++ b/tests/direct/fleet_gossip_crash_test.cpp
@@ -125,6 +125,23 @@
     EXPECT_EQ(gossip(Number).crashes(Other), 0U) << Number;
 }
 
+// Also where a host that knew of neither meets hosts that know of both.
+TEST_F(FleetGossipCrashTest, excuseCrashes_otherRequest_harmfulOneStays) {
+  constexpr std::uint64_t Other = 9;
+  Hosts.at(addressOf(4)).Down = true;
+  for (const char *Server : {"a", "b", "c"})
+    gossip(1).addCrash(Now, Other, ServerName(Server));
+  advanceTime(100ms);
+  gossip(2).excuseCrashes(Now, Other);
+  advanceTime(2s);
+  startHost(4, "~2");
+  startHost(5, "~2");
+  advanceTime(3s);
+  EXPECT_EQ(fewestKnown(), 3U);
+  for (unsigned Number = 0; Number < 6; ++Number)
+    EXPECT_EQ(gossip(Number).crashes(Other), 0U) << Number;
+}
+
 // An excuse is for the crashes that were known; three more count again.
 TEST_F(FleetGossipCrashTest, addCrash_afterExcuse_countsAndIsRecorded) {
   gossip(2).excuseCrashes(Now, Fingerprint);
