--- a/bench/detection_bench.cpp
+++ b/bench/detection_bench.cpp
@@ -137,8 +137,8 @@
   /// Counts changes of hosts that run and can be reached.
   void countChange(const FlowFields &Fields) {
     const std::string &Name = fieldOf(Fields, "member");
-    const std::string Number(Name.begin() + sizeof("host-") - 1,
-                             Name.begin() + Name.find('~'));
+    constexpr std::size_t Prefix = sizeof("host-") - 1;
+    const std::string Number = Name.substr(Prefix, Name.find('~') - Prefix);
     if (Now < Hosts.at("peer-" + Number).SuspendedUntil)
       return;
     const std::string &Status = fieldOf(Fields, "status");
