Reset the connection of a call that is given up

Cause: a call that timed out or was cancelled closed its connection in order. The system goes on sending what it has taken, so that a request, a retry or a write to the store could arrive long after it had been given up, when a cut link was back. The retry limit counts on 2 s at most.

Change: while a call is under way its socket resets when it is closed, which drops bytes that have not been received. A connection whose call was answered is closed in order, as before. It also holds if the process is killed.

Result: what is given up arrives within the call's timeout or not at all. That lateness alone broke the limit was not seen.

--- a/net/http_client.cpp
+++ b/net/http_client.cpp
@@ -149,6 +149,10 @@
   /// been returned.
   void fail(const MessageError &Error);
   beast::tcp_stream &stream() { return *Connection->Stream; }
+  /// Sets whether closing the connection resets it, so that the system drops
+  /// the bytes that have not reached the server. Otherwise they may arrive long
+  /// after the call has been given up, when a broken link is back.
+  void setResetOnClose(bool Resets);
 
   std::weak_ptr<HttpClient::Impl> Client;
   HttpCall Call;
@@ -203,6 +207,7 @@
 /// request is completely written.
 void ClientCall::exchange() {
   stream().expires_at(Deadline);
+  setResetOnClose(true);
   try {
     makeOutgoing();
   } catch (const std::exception &Thrown) {
@@ -213,6 +218,12 @@
   startResponse();
 }
 
+void ClientCall::setResetOnClose(bool Resets) {
+  // Errors are ignored: if the socket has failed, its next use reports it.
+  boost::system::error_code Ignored;
+  stream().socket().set_option(asio::socket_base::linger(Resets, 0), Ignored);
+}
+
 void ClientCall::makeOutgoing() {
   Outgoing.version(HttpVersion11);
   Outgoing.method_string(Call.Request.Method);
@@ -322,6 +333,7 @@
       finish(make_error_code(NetError::Broken));
     return;
   }
+  setResetOnClose(false);
   const auto Pool = Client.lock();
   // Bytes after the response belong to no current call, and the server would
   // take the unwritten rest of the request for the next request.
