--- a/tests/direct/small_parts_test.cpp
+++ b/tests/direct/small_parts_test.cpp
@@ -1,5 +1,6 @@
 #include "direct/baseline_latency.h"
 #include "direct/dissemination_plan.h"
+#include "direct/served_requests.h"
 #include "direct/server_ranking.h"
 #include "direct/traffic_split.h"
 
@@ -187,5 +188,27 @@
   EXPECT_LE(Hops, 3U);
 }
 
+TEST(ServedRequestsTest, record_laterRequests_lastTimeIsKeptForTheLifetime) {
+  const Instant Start{1h};
+  ServedRequests Served;
+  Served.record(Start, 7);
+  Served.record(Start + ServedRequests::Lifetime, 9);
+  EXPECT_EQ(Served.lastServed(7), Start);
+  Served.record(Start + 1s + ServedRequests::Lifetime, 7);
+  EXPECT_EQ(Served.lastServed(7), Start + 1s + ServedRequests::Lifetime);
+  EXPECT_EQ(Served.lastServed(8), std::nullopt);
+}
+
+// Guards against memory that grows with the number of different requests.
+TEST(ServedRequestsTest, record_moreThanItMayHold_oldestAreForgotten) {
+  const Instant Start{1h};
+  ServedRequests Served;
+  for (std::size_t Number = 0; Number <= 2 * ServedRequests::MaxRequests;
+       ++Number)
+    Served.record(Start, Number);
+  EXPECT_EQ(Served.lastServed(0), std::nullopt);
+  EXPECT_EQ(Served.lastServed(2 * ServedRequests::MaxRequests), Start);
+}
+
 } // namespace
 } // namespace mimosacart
