--- a/net/http_client.h
+++ b/net/http_client.h
@@ -58,14 +58,13 @@
 class HttpCallHandle {
 public:
   virtual ~HttpCallHandle() = default;
-  /// Ends the call without a result and resets its connection.
+  /// Ends the call without a result and closes its connection.
   virtual void cancel() = 0;
 };
 
 /// Makes HTTP calls, one at a time on each connection. A connection whose call
-/// failed, timed out or was cancelled is reset and not reused, so that a
-/// request that was given up does not arrive later. A response may arrive
-/// before the request is completely written.
+/// failed, timed out or was cancelled is closed and not reused. A response may
+/// arrive before the request is completely written.
 class HttpClient {
 public:
   using DoneHook = std::function<void(HttpResult)>;
