Cut hosts of the soak off from each other by settings

Change: two settings that operators of hosts with several addresses or behind forwarders need as well: network.source, the IP address that connections to servers, the store and peers come from, and peers.advertise, where peers reach a host.

--- a/daemon/direct_host_process.cpp
+++ b/daemon/direct_host_process.cpp
@@ -83,7 +83,7 @@
   // serve callers without one.
   Self.Leaving = true;
   Self.DataCentre = Host.DataCentre;
-  Self.PeerAddress = Host.PeerAddress;
+  Self.PeerAddress = Host.toldPeerAddress();
   Self.CallerAddress = Host.CallerAddress;
   Result.Fleet.Seeds = Host.SeedAddresses;
   Result.Fleet.IsFirstStart = Host.Direct->IsFirstStart;
@@ -123,19 +123,20 @@
       Log(Settings.Name.value(), parseLogLevel(Settings.LogLevel)),
       Memory(Settings.MemoryBytes),
       ServerHttp(IoContext, MaxAnswerBytes, Memory.Answers,
-                 logInvalidMessages(Log, "server")),
+                 logInvalidMessages(Log, "server"), Settings.SourceAddress),
       StoreHttp(IoContext, MaxAnswerBytes, Memory.Platform,
-                logInvalidMessages(Log, "store")),
+                logInvalidMessages(Log, "store"), Settings.SourceAddress),
       Store(StoreHttp, Settings.PlatformAddress, StoreTimeout, makeEraHooks()),
       CrashRecordRows(Store, Log, makeCrashRecordHooks()),
-      HostRegistration(Store, Log, Settings.Name.value(), Settings.PeerAddress),
+      HostRegistration(Store, Log, Settings.Name.value(),
+                       Settings.toldPeerAddress()),
       Peers(
           IoContext, [this](std::string_view Bytes) { onPeerBytes(Bytes); },
           [this](const std::string &Address, const std::string &Why) {
             Log.error("peer_address_unusable",
                       {{"address", Address}, {"why", Why}});
           },
-          Memory.MaxPeerMessageBytes),
+          Memory.MaxPeerMessageBytes, Settings.SourceAddress),
       Core(now(), makeNodeSettings(Settings, Incarnation), makeCoreHooks()),
       RouteFollower(IoContext, Store, RoutesTableName, Log,
                     makeFollowerHooks(StoreTable::Routes)),
--- a/daemon/entry_host_process.cpp
+++ b/daemon/entry_host_process.cpp
@@ -52,7 +52,7 @@
   Result.Self.Host = Host.Name;
   Result.Self.Incarnation = Incarnation;
   Result.Self.DataCentre = Host.DataCentre;
-  Result.Self.PeerAddress = Host.PeerAddress;
+  Result.Self.PeerAddress = Host.toldPeerAddress();
   Result.Self.CallerAddress = Host.CallerAddress;
   Result.SeedAddresses = Host.SeedAddresses;
   Result.RandomSeed = Incarnation.value();
@@ -96,9 +96,9 @@
       Core(now(), makeNodeSettings(Settings, Incarnation)),
       Memory(Settings.MemoryBytes),
       ServerHttp(IoContext, MaxAnswerBytes, Memory.Answers,
-                 logInvalidMessages(Log, "server")),
+                 logInvalidMessages(Log, "server"), Settings.SourceAddress),
       PlatformHttp(IoContext, MaxAnswerBytes, Memory.Platform,
-                   logInvalidMessages(Log, "platform")),
+                   logInvalidMessages(Log, "platform"), Settings.SourceAddress),
       Platform(PlatformHttp, Settings.PlatformAddress,
                Settings.PlatformTimeout),
       Archive(Platform),
--- a/net/asio.h
+++ b/net/asio.h
@@ -31,6 +31,10 @@
 /// the acceptor is then closed, so that another address can be tried.
 bool listenOn(tcp::acceptor &Acceptor, const std::string &Address);
 
+/// Opens \p Socket and lets its connection come from the IP address \p Source,
+/// with a port that the system chooses. Returns false if that fails.
+bool openFrom(tcp::socket &Socket, const std::string &Source);
+
 /// Sets the options for all connections: small writes are sent without delay,
 /// and a connection whose peer no longer responds is closed.
 void setConnectionOptions(tcp::socket &Socket);
--- a/net/endpoint.cpp
+++ b/net/endpoint.cpp
@@ -1,6 +1,7 @@
 #include "net/asio.h"
 
 #include <charconv>
+#include <netinet/in.h>
 #include <netinet/tcp.h>
 
 namespace mimosacart {
@@ -36,6 +37,23 @@
   Socket.set_option(UserTimeout(UnacknowledgedLimitMs), Ignored);
 }
 
+bool openFrom(tcp::socket &Socket, const std::string &Source) {
+  // The port is chosen on connecting, so that one port serves many connections
+  // to different addresses.
+  using NoPortOnBind =
+      asio::detail::socket_option::boolean<IPPROTO_IP, IP_BIND_ADDRESS_NO_PORT>;
+  boost::system::error_code Error;
+  const auto Ip = asio::ip::make_address(Source, Error);
+  const tcp::endpoint Endpoint(Ip, 0);
+  if (!Error)
+    Socket.open(Endpoint.protocol(), Error);
+  if (!Error)
+    Socket.set_option(NoPortOnBind(true), Error);
+  if (!Error)
+    Socket.bind(Endpoint, Error);
+  return !Error;
+}
+
 std::optional<tcp::endpoint> parseEndpoint(const std::string &Address) {
   const std::size_t Colon = Address.rfind(':');
   if (Colon == std::string::npos)
--- a/net/http_client.cpp
+++ b/net/http_client.cpp
@@ -58,9 +58,10 @@
 class HttpClient::Impl {
 public:
   Impl(asio::io_context &Context, std::size_t MaxBodyBytes,
-       std::shared_ptr<MemoryBudget> Memory, InvalidMessageHook ReportInvalid)
+       std::shared_ptr<MemoryBudget> Memory, InvalidMessageHook ReportInvalid,
+       std::string Source)
       : Context(Context), MaxBodyBytes(MaxBodyBytes), Memory(std::move(Memory)),
-        ReportInvalid(std::move(ReportInvalid)) {}
+        ReportInvalid(std::move(ReportInvalid)), Source(std::move(Source)) {}
 
   /// Takes the most recently used connection that is still open, was not idle
   /// for too long and may carry \p Call; nothing if there is none.
@@ -75,6 +76,7 @@
   const std::size_t MaxBodyBytes;
   const std::shared_ptr<MemoryBudget> Memory;
   const InvalidMessageHook ReportInvalid;
+  const std::string Source;
   /// The idle connections of each address and channel.
   std::map<std::pair<std::string, std::string>, std::deque<IdleConnection>>
       Idle;
@@ -182,9 +184,13 @@
 void ClientCall::connect(HttpClient::Impl &Pool) {
   const auto Endpoint = parseEndpoint(Call.Address);
   Connection = Pool.makeConnection();
-  if (!Endpoint) {
-    asio::post(Pool.Context, [Self = shared_from_this()] {
-      Self->finish(make_error_code(NetError::BadAddress));
+  const bool IsOpen =
+      Pool.Source.empty() || openFrom(stream().socket(), Pool.Source);
+  if (!Endpoint || !IsOpen) {
+    const NetError Reason =
+        Endpoint ? NetError::ConnectFailed : NetError::BadAddress;
+    asio::post(Pool.Context, [Self = shared_from_this(), Reason] {
+      Self->finish(make_error_code(Reason));
     });
     return;
   }
@@ -395,9 +401,10 @@
 
 HttpClient::HttpClient(asio::io_context &Context, std::size_t MaxBodyBytes,
                        std::shared_ptr<MemoryBudget> Memory,
-                       InvalidMessageHook ReportInvalid)
+                       InvalidMessageHook ReportInvalid, std::string Source)
     : Shared(std::make_shared<Impl>(Context, MaxBodyBytes, std::move(Memory),
-                                    std::move(ReportInvalid))) {}
+                                    std::move(ReportInvalid),
+                                    std::move(Source))) {}
 
 HttpClient::~HttpClient() = default;
 
--- a/net/http_client.h
+++ b/net/http_client.h
@@ -73,10 +73,11 @@
   /// \p MaxBodyBytes limits the body of a response, \p Memory the responses
   /// that are held, from their first byte until their bodies are dropped. A
   /// call whose response exceeds either is broken. \p Memory may be null and
-  /// \p ReportInvalid empty.
+  /// \p ReportInvalid empty. Connections come from the IP address \p Source,
+  /// or from one that the system chooses if it is empty.
   HttpClient(boost::asio::io_context &Context, std::size_t MaxBodyBytes,
              std::shared_ptr<MemoryBudget> Memory = nullptr,
-             InvalidMessageHook ReportInvalid = {});
+             InvalidMessageHook ReportInvalid = {}, std::string Source = {});
   ~HttpClient();
   HttpClient(const HttpClient &) = delete;
   HttpClient &operator=(const HttpClient &) = delete;
--- a/net/peer_transport.cpp
+++ b/net/peer_transport.cpp
@@ -50,10 +50,12 @@
 class PeerTransport::Impl {
 public:
   Impl(asio::io_context &Io, ReceiveHook HandleMessage,
-       BadAddressHook ReportBadAddress, std::size_t MaxMessageBytes)
+       BadAddressHook ReportBadAddress, std::size_t MaxMessageBytes,
+       const std::string &Source)
       : Io(Io), MaxMessageBytes(static_cast<std::int64_t>(MaxMessageBytes)),
         HandleMessage(std::move(HandleMessage)),
-        ReportBadAddress(std::move(ReportBadAddress)), Context(1),
+        ReportBadAddress(std::move(ReportBadAddress)),
+        SourcePrefix(Source.empty() ? "" : Source + ":0;"), Context(1),
         Inbound(Context, zmq::socket_type::pull), Readable(Io), RetryTimer(Io) {
   }
 
@@ -187,7 +189,7 @@
     Socket.set(zmq::sockopt::immediate, true);
     Socket.set(zmq::sockopt::reconnect_ivl, ReconnectMs);
     Socket.set(zmq::sockopt::reconnect_ivl_max, MaxReconnectMs);
-    Socket.connect("tcp://" + Address);
+    Socket.connect("tcp://" + SourcePrefix + Address);
     return Socket;
   }
 
@@ -231,6 +233,8 @@
   const std::int64_t MaxMessageBytes;
   const ReceiveHook HandleMessage;
   const BadAddressHook ReportBadAddress;
+  /// Part of ZeroMQ's addresses that names where connections come from.
+  const std::string SourcePrefix;
   zmq::context_t Context;
   zmq::socket_t Inbound;
   std::unordered_map<std::string, OutboundPeer> Outbound;
@@ -243,10 +247,11 @@
 PeerTransport::PeerTransport(asio::io_context &Context,
                              ReceiveHook HandleMessage,
                              BadAddressHook ReportBadAddress,
-                             std::size_t MaxMessageBytes)
+                             std::size_t MaxMessageBytes,
+                             const std::string &Source)
     : Implementation(std::make_unique<Impl>(Context, std::move(HandleMessage),
                                             std::move(ReportBadAddress),
-                                            MaxMessageBytes)) {}
+                                            MaxMessageBytes, Source)) {}
 
 PeerTransport::~PeerTransport() = default;
 
--- a/net/peer_transport.h
+++ b/net/peer_transport.h
@@ -47,10 +47,12 @@
   static constexpr std::size_t DefaultMaxMessageBytes = 80U << 20U;
 
   /// \p ReportBadAddress may be empty. A peer that sends a message of more than
-  /// \p MaxMessageBytes is disconnected.
+  /// \p MaxMessageBytes is disconnected. Connections to peers come from the IP
+  /// address \p Source, or from one that the system chooses if it is empty.
   PeerTransport(boost::asio::io_context &Context, ReceiveHook HandleMessage,
                 BadAddressHook ReportBadAddress = {},
-                std::size_t MaxMessageBytes = DefaultMaxMessageBytes);
+                std::size_t MaxMessageBytes = DefaultMaxMessageBytes,
+                const std::string &Source = {});
   ~PeerTransport();
   PeerTransport(const PeerTransport &) = delete;
   PeerTransport &operator=(const PeerTransport &) = delete;
--- a/settings/host_settings.cpp
+++ b/settings/host_settings.cpp
@@ -105,7 +105,11 @@
   readPlatform(Root.readRequiredTable("platform"), Result);
   TableReader Peers = Root.readTableOrEmpty("peers");
   Result.SeedAddresses = Peers.readAddressesOr("seeds", {});
+  Result.AdvertisedPeerAddress = Peers.readAddressOr("advertise", "");
   Peers.reportUnknownKeys();
+  TableReader Network = Root.readTableOrEmpty("network");
+  Result.SourceAddress = Network.readIpAddressOr("source", "");
+  Network.reportUnknownKeys();
   readLimits(Root.readTableOrEmpty("limits"), Result.Limits);
   TableReader Timing = Root.readTableOrEmpty("timing");
   Result.EntriesLifetime =
--- a/settings/host_settings.h
+++ b/settings/host_settings.h
@@ -58,6 +58,12 @@
   std::size_t MemoryBytes = std::size_t(512) << 20U;
   std::string CallerAddress;
   std::string PeerAddress;
+  /// The address at which peers reach this host, if that is not PeerAddress
+  /// since something between them forwards connections; else empty.
+  std::string AdvertisedPeerAddress;
+  /// IP address that connections to servers, the store and peers come from;
+  /// empty if the system chooses it.
+  std::string SourceAddress;
   std::string AdminAddress;
   std::string PlatformAddress;
   /// Interval at which the host polls the platform.
@@ -75,6 +81,11 @@
   std::string Balancing = "slot-ownership";
   /// Present if the file contains a `direct` table.
   std::optional<DirectSettings> Direct;
+
+  /// The address that peers are told of.
+  const std::string &toldPeerAddress() const {
+    return AdvertisedPeerAddress.empty() ? PeerAddress : AdvertisedPeerAddress;
+  }
 };
 
 /// Parses and checks an entry host's settings file. \p Text is its contents;
--- a/settings/toml_reader.cpp
+++ b/settings/toml_reader.cpp
@@ -238,6 +238,21 @@
   return Text;
 }
 
+std::string TableReader::readAddressOr(std::string_view Key,
+                                       std::string Default) {
+  return find(Key) == nullptr ? Default : readRequiredAddress(Key);
+}
+
+std::string TableReader::readIpAddressOr(std::string_view Key,
+                                         std::string Default) {
+  std::string Text = readStringOr(Key, Default);
+  if (Text != Default && !isAddress(Text + ":1"))
+    reportError(Key, fmt::format("found \"{}\", expected an IP address such as "
+                                 "\"10.0.0.1\"",
+                                 Text));
+  return Text;
+}
+
 std::string TableReader::readChoiceOr(std::string_view Key, std::string Default,
                                       const std::vector<std::string> &Allowed) {
   std::string Text = readStringOr(Key, std::move(Default));
--- a/settings/toml_reader.h
+++ b/settings/toml_reader.h
@@ -58,6 +58,9 @@
   std::string readStringOr(std::string_view Key, std::string Default);
   /// Reads an `ip:port` address.
   std::string readRequiredAddress(std::string_view Key);
+  std::string readAddressOr(std::string_view Key, std::string Default);
+  /// Reads an IPv4 address without a port.
+  std::string readIpAddressOr(std::string_view Key, std::string Default);
   /// Reads a string that is one of \p Allowed.
   std::string readChoiceOr(std::string_view Key, std::string Default,
                            const std::vector<std::string> &Allowed);
--- a/soak/fault_proxy.cpp
+++ b/soak/fault_proxy.cpp
@@ -3,6 +3,8 @@
 #include <boost/asio/write.hpp>
 
 #include <array>
+#include <poll.h>
+#include <utility>
 
 namespace mimosacart {
 
@@ -18,6 +20,20 @@
   Socket.close(IgnoredError);
 }
 
+/// Whether the other end of \p Socket has reset the connection.
+bool isReset(tcp::socket &Socket) {
+  pollfd Query{Socket.native_handle(), 0, 0};
+  return !Socket.is_open() ||
+         (poll(&Query, 1, 0) > 0 && (Query.revents & POLLERR) != 0);
+}
+
+/// IP address that \p Socket is connected to; empty if it is not.
+std::string sourceOf(const tcp::socket &Socket) {
+  boost::system::error_code Error;
+  const tcp::endpoint Remote = Socket.remote_endpoint(Error);
+  return Error ? std::string() : Remote.address().to_string();
+}
+
 } // namespace
 
 const char *toString(LinkFault Value) {
@@ -43,7 +59,23 @@
   ProxiedConnection(FaultProxy &Owner, tcp::socket ClientSocket)
       : Fault(Owner.Fault), DrawCopyDelay(Owner.DrawCopyDelay),
         Context(Owner.Context), ClientSocket(std::move(ClientSocket)),
-        TargetSocket(Owner.Context) {}
+        TargetSocket(Owner.Context), Source(sourceOf(this->ClientSocket)),
+        IsCut(Owner.Cuts.contains(Source)), OpenedInCut(IsCut) {}
+
+  const std::string &source() const { return Source; }
+
+  void setCut(bool NewCut) {
+    IsCut = NewCut;
+    if (IsCut)
+      return;
+    const auto KeptUntilReturn = std::exchange(Held, nullptr);
+    if (OpenedInCut || isReset(ClientSocket) || isReset(TargetSocket)) {
+      resetBoth();
+      return;
+    }
+    for (const auto &Resume : std::exchange(HeldReads, {}))
+      Resume();
+  }
 
   void start(const tcp::endpoint &Target) {
     TargetSocket.async_connect(Target, [Self = shared_from_this()](
@@ -94,6 +126,15 @@
   void onRead(tcp::socket &From, tcp::socket &To, Bytes &Buffer,
               bool FromTarget, boost::system::error_code Error,
               std::size_t Count) {
+    if (IsCut) {
+      HeldReads.push_back(
+          [this, &From, &To, &Buffer, FromTarget, Error, Count] {
+            onRead(From, To, Buffer, FromTarget, Error, Count);
+          });
+      // Keeps this object until the cut ends.
+      Held = shared_from_this();
+      return;
+    }
     if (dropsBytes(FromTarget)) {
       // The end of the connection is not forwarded either.
       if (!Error)
@@ -165,6 +206,11 @@
   asio::io_context &Context;
   tcp::socket ClientSocket;
   tcp::socket TargetSocket;
+  const std::string Source;
+  bool IsCut;
+  const bool OpenedInCut;
+  std::vector<std::function<void()>> HeldReads;
+  std::shared_ptr<ProxiedConnection> Held;
   Bytes ToTarget{};
   Bytes ToClient{};
 };
@@ -198,6 +244,26 @@
       });
 }
 
+void FaultProxy::cutOff(const std::string &Source) {
+  ++Cuts[Source];
+  updateCuts(Source);
+}
+
+void FaultProxy::reconnect(const std::string &Source) {
+  const auto Found = Cuts.find(Source);
+  if (Found != Cuts.end() && --Found->second == 0)
+    Cuts.erase(Found);
+  updateCuts(Source);
+}
+
+void FaultProxy::updateCuts(const std::string &Source) {
+  for (const auto &Entry : Connections) {
+    const auto Connection = Entry.lock();
+    if (Connection && Connection->source() == Source)
+      Connection->setCut(Cuts.contains(Source));
+  }
+}
+
 void FaultProxy::setFault(LinkFault NewFault) {
   Fault = NewFault;
   for (const auto &Entry : Connections)
--- a/soak/fault_proxy.h
+++ b/soak/fault_proxy.h
@@ -6,6 +6,7 @@
 
 #include <chrono>
 #include <functional>
+#include <map>
 #include <memory>
 #include <optional>
 #include <string>
@@ -46,6 +47,12 @@
   /// set to OneWay or Silence may have lost bytes, so it keeps its fault when
   /// \p NewFault is None.
   void setFault(LinkFault NewFault);
+  /// Holds all bytes of connections from the IP address \p Source, in both
+  /// directions, until reconnect() has been called as often. The bytes are then
+  /// forwarded, as a network delivers what a sender's system repeats, unless an
+  /// end has reset the connection or it was opened during the cut.
+  void cutOff(const std::string &Source);
+  void reconnect(const std::string &Source);
   /// \p Hook returns the time after which a block of bytes from the target is
   /// forwarded once more; nothing if it is not.
   void copyBlocks(CopyHook Hook) { DrawCopyDelay = std::move(Hook); }
@@ -54,12 +61,15 @@
   class ProxiedConnection;
 
   void accept();
+  void updateCuts(const std::string &Source);
 
   asio::io_context &Context;
   const std::string Target;
   tcp::acceptor Acceptor;
   LinkFault Fault = LinkFault::None;
   CopyHook DrawCopyDelay;
+  /// Number of cuts of each source.
+  std::map<std::string, unsigned> Cuts;
   std::vector<std::weak_ptr<ProxiedConnection>> Connections;
 };
 
--- a/soak/main.cpp
+++ b/soak/main.cpp
@@ -17,6 +17,8 @@
               "connections to each host on which callers send without end");
 DEFINE_bool(retry_trouble, false,
             "make hosts use up their retries, with herd restarts and pauses");
+DEFINE_bool(cut_trouble, false,
+            "cut hosts off from each other, the store and servers");
 DEFINE_double(retry_slack, 50, "fixed part of the fleet's limit on retries");
 DEFINE_string(program, "build/daemon/mimosacartd", "path of mimosacartd");
 DEFINE_string(folder, "build/soak-out",
@@ -40,6 +42,7 @@
     Options.TellMemory = FLAGS_tell_memory;
     Options.EndlessCallers = FLAGS_endless;
     Options.RetryTrouble = FLAGS_retry_trouble;
+    Options.CutTrouble = FLAGS_cut_trouble;
     Options.Retries.Slack = FLAGS_retry_slack;
     Options.Program = FLAGS_program;
     Options.Folder = fmt::format("{}/{}", FLAGS_folder, Seed);
--- a/soak/soak.cpp
+++ b/soak/soak.cpp
@@ -193,32 +193,51 @@
   static std::vector<std::string> PeerSeeds;
   if (Index == 0)
     PeerSeeds.clear();
-  PeerSeeds.push_back(allocateAddress());
+  allocatePeerAddress(Host);
+  PeerSeeds.push_back(Host.AdvertisedPeerAddress);
   // With fewer seeds, the others must be found.
   constexpr std::size_t FewSeeds = 3;
   std::vector<std::string> ToldSeeds = PeerSeeds;
-  if (Options.RetryTrouble)
+  if (Options.RetryTrouble || Options.CutTrouble)
     ToldSeeds.resize(std::min(FewSeeds, ToldSeeds.size()));
   std::ofstream File(Path);
   File << fmt::format(
       "[host]\nname = \"{}\"\ndata_centre = \"here\"\n{}[listen]\n"
       "callers = \"{}\"\npeers = \"{}\"\nadmin = \"{}\"\n[platform]\n"
-      "address = \"{}\"\n[peers]\nseeds = [\"{}\"]\n[direct]\n"
+      "address = \"{}\"\n{}[peers]\nseeds = [\"{}\"]\nadvertise = \"{}\"\n"
+      "[direct]\n"
       "directory = \"{}\"\nreadiness = \"{}\"\nstop_grace = \"4s\"\n"
       "retry_share = {}\nretry_slack = {}\nretry_window = \"{}s\"\n",
       Name,
       Options.TellMemory ? fmt::format("memory_mb = {}\n", Options.MemoryMb)
                          : "",
-      Host.CallerAddress, PeerSeeds.back(), allocateAddress(),
-      StoreProxyAddress, fmt::join(ToldSeeds, "\", \""), allocateAddress(),
-      allocateAddress(), Options.Retries.Share, Options.Retries.Slack,
-      Options.Retries.Window.count());
+      Host.CallerAddress, Host.PeerAddress, allocateAddress(),
+      StoreProxyAddress,
+      Host.SourceAddress.empty()
+          ? ""
+          : fmt::format("[network]\nsource = \"{}\"\n", Host.SourceAddress),
+      fmt::join(ToldSeeds, "\", \""), Host.AdvertisedPeerAddress,
+      allocateAddress(), allocateAddress(), Options.Retries.Share,
+      Options.Retries.Slack, Options.Retries.Window.count());
   File.close();
   Host.Process = std::make_unique<HostProcess>(
       Options.Program, Path, Options.Folder + "/" + Name + ".log");
   Host.Process->start();
 }
 
+void Soak::allocatePeerAddress(EntryHost &Host) {
+  Host.PeerAddress = allocateAddress();
+  Host.AdvertisedPeerAddress = Host.PeerAddress;
+  if (!Options.CutTrouble)
+    return;
+  Host.SourceAddress = Host.PeerAddress.substr(0, Host.PeerAddress.find(':'));
+  Host.AdvertisedPeerAddress = allocateAddress();
+  Host.PeerProxy = std::make_unique<FaultProxy>(Context, Host.PeerAddress);
+  if (!Host.PeerProxy->listen(Host.AdvertisedPeerAddress))
+    throw std::runtime_error("cannot listen on peer proxy address " +
+                             Host.AdvertisedPeerAddress);
+}
+
 std::vector<std::string> Soak::run() {
   StartedAt = std::chrono::steady_clock::now();
   const SoakTime End = StartedAt + Options.Length;
@@ -230,6 +249,7 @@
   scheduleRestarts();
   scheduleEndlessPeers();
   scheduleRetryTrouble();
+  scheduleCutTrouble();
   // The last change of the configuration. Every host must apply it when
   // RecoveredBeforeEnd is left of the run.
   runAfter(std::chrono::duration_cast<std::chrono::milliseconds>(
@@ -248,7 +268,7 @@
 void Soak::sendRequests() {
   if (!IsSending)
     return;
-  sendRequest();
+  sendRequest(Options.CutTrouble);
   const double MeanMs = 1000.0 / Options.RequestsPerSecond;
   const double DelayMs =
       std::exponential_distribution<double>(1 / MeanMs)(Random);
@@ -256,7 +276,7 @@
            [this] { sendRequests(); });
 }
 
-void Soak::sendRequest() {
+void Soak::sendRequest(bool MayRepeat) {
   const std::size_t HostIndex = drawIndex(Hosts.size());
   ObservedRequest Request;
   Request.Id = fmt::format("r-{}-{}", Options.Seed, ++LastRequestNumber);
@@ -270,22 +290,30 @@
   Call.ConnectTimeout = 1s;
   Call.Timeout = 4s;
   Call.MaxIdle = 10s;
-  Call.Request = {Request.Idempotent ? "GET" : "POST",
-                  Request.Idempotent ? "/read/1" : "/once/1",
-                  {{"Host", "soak.example"},
-                   {"X-Request-Id", Request.Id},
-                   {"X-Deadline-Ms", "2500"}},
-                  "",
-                  ""};
+  // Requests that are alike are quarantined together, and then none is
+  // repeated.
+  const unsigned Item = Options.CutTrouble ? LastRequestNumber : 1;
+  Call.Request = {
+      Request.Idempotent ? "GET" : "POST",
+      fmt::format("/{}/{}", Request.Idempotent ? "read" : "once", Item),
+      {{"Host", "soak.example"},
+       {"X-Request-Id", Request.Id},
+       {"X-Deadline-Ms", "2500"}},
+      "",
+      ""};
   const std::string Id = Checker.addRequest(std::move(Request)).Id;
-  CallerClient.call(std::move(Call), [this, Id](const HttpResult &Result) {
-    if (Result.has_value())
-      Checker.onRequestEnded(Id, Result.value().Status,
-                             Result.value().Body.bytes(), false);
-    else
-      Checker.onRequestEnded(Id, 0, "",
-                             Result.error() == NetError::ConnectFailed);
-  });
+  CallerClient.call(
+      std::move(Call), [this, Id, MayRepeat](const HttpResult &Result) {
+        if (Result.has_value())
+          Checker.onRequestEnded(Id, Result.value().Status,
+                                 Result.value().Body.bytes(), false);
+        else
+          Checker.onRequestEnded(Id, 0, "",
+                                 Result.error() == NetError::ConnectFailed);
+        if (MayRepeat && IsSending &&
+            (!Result.has_value() || Result.value().Status >= 400))
+          sendRequest(false);
+      });
 }
 
 /// Restarts host processes that ended, as the platform does.
--- a/soak/soak.h
+++ b/soak/soak.h
@@ -46,6 +46,9 @@
   /// Whether servers fail and many hosts restart or pause at once, so that all
   /// retries are used up. Hosts know the addresses of three hosts only.
   bool RetryTrouble = false;
+  /// Whether hosts are cut off from each other, the store and servers, callers
+  /// repeat at once, and hosts know the addresses of three hosts only.
+  bool CutTrouble = false;
   /// Path of `mimosacartd`.
   std::string Program;
   /// Folder for the hosts' settings files and logs.
@@ -86,12 +89,26 @@
   /// An entry host process and the proxy between it and the store.
   struct EntryHost {
     std::string CallerAddress;
+    /// IP address that the host connects from; empty if any.
+    std::string SourceAddress;
+    /// Where the host listens for peers.
+    std::string PeerAddress;
+    /// The address that peers are told of.
+    std::string AdvertisedPeerAddress;
+    /// Null unless hosts are cut off from each other.
+    std::unique_ptr<FaultProxy> PeerProxy;
     std::unique_ptr<FaultProxy> StoreProxy;
     std::unique_ptr<HostProcess> Process;
     /// Whether the process is to be restarted when it ends; false while a
     /// restart is already scheduled.
     bool RestartWhenEnded = true;
   };
+  /// Links that some hosts lose.
+  struct Cut {
+    std::string Description;
+    /// Index of a host, and the link that it can't use.
+    std::vector<std::pair<std::size_t, FaultProxy *>> Links;
+  };
 
   /// Returns a loopback address and port that this run has not used yet.
   std::string allocateAddress();
@@ -104,7 +121,12 @@
   /// \p NewOnceService to the store.
   void publishConfiguration(const std::string &NewOnceService);
   void sendRequests();
-  void sendRequest();
+  /// Sends a request; if \p MayRepeat, the caller sends another one at once if
+  /// it is not served.
+  void sendRequest(bool MayRepeat);
+  /// Allocates the addresses of the host for its peers, and a proxy between
+  /// them if hosts are cut off from each other.
+  void allocatePeerAddress(EntryHost &Host);
   void watchProcesses();
   /// Records the largest memory of a host, and reports it if it is too much.
   void checkMemory(std::size_t Index);
@@ -139,6 +161,16 @@
   void scheduleRetryTrouble();
   void startRetryEpisode();
   void troubleServers(ServerTrouble Kind);
+  /// Schedules cuts between hosts, and between hosts, the store and servers.
+  void scheduleCutTrouble();
+  void startCut();
+  Cut drawCut(const std::vector<std::size_t> &Part,
+              const std::vector<std::size_t> &Rest);
+  void beginCut(const Cut &Added, const std::vector<std::size_t> &Part,
+                std::chrono::milliseconds Length);
+  void signalWave(const std::vector<std::size_t> &Part);
+  std::vector<std::size_t> drawPart();
+  long drawForCuts(long Min, long Max);
   /// Suspends a share of the hosts for a while.
   void pauseHerd(double Share);
   /// Sends \p Signal to a share of the hosts and returns their indices.
@@ -181,6 +213,7 @@
   PromiseChecker Checker;
   RetryChecker Retries;
   std::mt19937_64 RetryRandom;
+  std::mt19937_64 CutRandom;
   std::string StoreAddress;
   std::vector<std::unique_ptr<ServerInstance>> Servers;
   std::vector<EntryHost> Hosts;
--- a/tests/net/http_client_test.cpp
+++ b/tests/net/http_client_test.cpp
@@ -108,6 +108,34 @@
   std::vector<std::shared_ptr<tcp::socket>> AcceptedSockets;
 };
 
+TEST_F(HttpClientTest, call_sourceIsSet_connectionComesFromIt) {
+  HttpClient Bound(Context, 1000, nullptr, {}, "127.0.0.9");
+  serve({"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"}, false);
+  HttpCall Call;
+  Call.Address = Address;
+  Call.Request = {"GET", "/", {}, "", ""};
+  Call.Timeout = 500ms;
+  std::optional<HttpResult> Result;
+  Bound.call(std::move(Call),
+             [&Result](HttpResult Value) { Result.emplace(std::move(Value)); });
+  Context.run_for(500ms);
+  ASSERT_TRUE(Result && Result->has_value());
+  EXPECT_EQ(AcceptedSockets.front()->remote_endpoint().address().to_string(),
+            "127.0.0.9");
+}
+
+TEST_F(HttpClientTest, call_sourceIsNoAddressOfThisHost_endsAsNotConnected) {
+  HttpClient Bound(Context, 1000, nullptr, {}, "192.0.2.1");
+  HttpCall Call;
+  Call.Address = Address;
+  Call.Timeout = 500ms;
+  std::optional<HttpResult> Result;
+  Bound.call(std::move(Call),
+             [&Result](HttpResult Value) { Result.emplace(std::move(Value)); });
+  Context.run_for(200ms);
+  EXPECT_EQ(errorOf(Result), NetError::ConnectFailed);
+}
+
 TEST_F(HttpClientTest, response_complete_isReturned) {
   serve({"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"}, false);
   const auto Result = call();
--- a/tests/net/peer_transport_test.cpp
+++ b/tests/net/peer_transport_test.cpp
@@ -42,6 +42,20 @@
   EXPECT_EQ(Sender.counters().MessagesSent, 2U);
 }
 
+TEST_F(PeerTransportTest, send_sourceIsSet_connectionComesFromIt) {
+  tcp::acceptor Acceptor(Context, *parseEndpoint(Address));
+  PeerTransport Bound(
+      Context, [](std::string_view) {}, {},
+      PeerTransport::DefaultMaxMessageBytes, "127.0.0.9");
+  std::string From;
+  Acceptor.async_accept([&From](boost::system::error_code, tcp::socket Socket) {
+    From = Socket.remote_endpoint().address().to_string();
+  });
+  Bound.send(Address, "one");
+  run(250ms);
+  EXPECT_EQ(From, "127.0.0.9");
+}
+
 // Guards against a process that ends because a row of the store or a message of
 // a peer names an address that ZeroMQ throws on.
 TEST_F(PeerTransportTest, send_unusableAddress_onlyItsMessageIsDropped) {
--- a/tests/settings/settings_test.cpp
+++ b/tests/settings/settings_test.cpp
@@ -34,6 +34,40 @@
   EXPECT_EQ(Parsed.value().SeedAddresses.size(), 2U);
 }
 
+TEST(HostSettingsTest, parse_noAdvertisedAddress_peersAreToldWhereItListens) {
+  const auto Parsed = parseHostSettings(ValidHost, "f");
+  ASSERT_TRUE(Parsed.has_value());
+  EXPECT_EQ(Parsed.value().toldPeerAddress(), "127.0.0.1:2");
+  EXPECT_EQ(Parsed.value().SourceAddress, "");
+}
+
+TEST(HostSettingsTest, parse_advertisedAndSourceAddress_areRead) {
+  const auto Parsed =
+      parseHostSettings(std::string(ValidHost) + "advertise = \"10.0.0.1:7\"\n"
+                                                 "[network]\n"
+                                                 "source = \"127.0.0.9\"\n",
+                        "f");
+  ASSERT_TRUE(Parsed.has_value());
+  EXPECT_EQ(Parsed.value().toldPeerAddress(), "10.0.0.1:7");
+  EXPECT_EQ(Parsed.value().SourceAddress, "127.0.0.9");
+}
+
+TEST(HostSettingsTest, parse_badAdvertisedAndSourceAddress_reportsEach) {
+  const auto Parsed =
+      parseHostSettings(std::string(ValidHost) + "advertise = \"10.0.0.1\"\n"
+                                                 "[network]\n"
+                                                 "source = \"127.0.0.9:1\"\n",
+                        "f");
+  ASSERT_TRUE(Parsed.has_error());
+  const auto Lines = formatErrors(Parsed.error());
+  ASSERT_EQ(Lines.size(), 2U);
+  EXPECT_EQ(Lines[0], "f:13:13: peers.advertise: found \"10.0.0.1\", expected "
+                      "an IP address and a port such as \"10.0.0.1:8080\"");
+  EXPECT_EQ(Lines[1],
+            "f:15:10: network.source: found \"127.0.0.9:1\", expected "
+            "an IP address such as \"10.0.0.1\"");
+}
+
 TEST(HostSettingsTest,
      parse_severalErrors_reportsAllWithPositionAndAllowedValues) {
   const auto Parsed = parseHostSettings(R"([host]
