Free descriptors of the soak's cut links, and fail if it can't accept

A proxy that could not accept a connection never accepted one again, in silence. Cut links kept both sockets of connections that a host had reset, and opened the one to the target for connections made during a cut.

Change: a connection that is opened during a cut is not carried to its target; one that an end has reset is dropped at once. A proxy that can't accept ends the soak with the reason.

Result: a run that lacks descriptors can't pass for a fault of the hosts.

--- a/soak/fault_proxy.cpp
+++ b/soak/fault_proxy.cpp
@@ -4,6 +4,7 @@
 
 #include <array>
 #include <poll.h>
+#include <stdexcept>
 #include <utility>
 
 namespace mimosacart {
@@ -78,6 +79,10 @@
   }
 
   void start(const tcp::endpoint &Target) {
+    if (OpenedInCut) {
+      discard();
+      return;
+    }
     TargetSocket.async_connect(Target, [Self = shared_from_this()](
                                            boost::system::error_code Error) {
       if (Error || Self->Fault == LinkFault::Reset) {
@@ -103,6 +108,33 @@
 private:
   using Bytes = std::array<char, 16384>;
 
+  /// Reads from a client that can't reach the target until one of them ends.
+  void discard() {
+    ClientSocket.async_read_some(
+        asio::buffer(ToTarget),
+        [Self = shared_from_this()](boost::system::error_code Error,
+                                    std::size_t) {
+          if (Error)
+            Self->resetBoth();
+          else
+            Self->discard();
+        });
+  }
+
+  /// Frees the descriptors during a cut when the end at \p Socket has reset the
+  /// connection.
+  void dropWhenReset(tcp::socket &Socket) {
+    Socket.async_wait(
+        tcp::socket::wait_error,
+        [Self = shared_from_this(), &Socket](boost::system::error_code Error) {
+          if (Error || !Self->IsCut || !isReset(Socket))
+            return;
+          Self->resetBoth();
+          Self->HeldReads.clear();
+          Self->Held.reset();
+        });
+  }
+
   void resetBoth() {
     resetSocket(ClientSocket);
     resetSocket(TargetSocket);
@@ -133,6 +165,7 @@
           });
       // Keeps this object until the cut ends.
       Held = shared_from_this();
+      dropWhenReset(From);
       return;
     }
     if (dropsBytes(FromTarget)) {
@@ -228,8 +261,12 @@
 void FaultProxy::accept() {
   Acceptor.async_accept(
       [this](boost::system::error_code Error, tcp::socket Socket) {
-        if (Error)
+        if (Error == asio::error::operation_aborted)
           return;
+        // A proxy that accepts no more would look like a fault of the hosts.
+        if (Error)
+          throw std::runtime_error("cannot accept connections to " + Target +
+                                   ": " + Error.message());
         if (Fault == LinkFault::Reset) {
           resetSocket(Socket);
         } else {
