--- a/direct/fleet_gossip.cpp
+++ b/direct/fleet_gossip.cpp
@@ -18,10 +18,6 @@
 /// Number of groups into which members are divided for a comparison, so that
 /// one difference costs the records of one group only.
 constexpr std::size_t ViewBuckets = 32;
-/// Largest number of members that are sent to a host that was unknown here.
-constexpr std::size_t MaxInitialMembers = 24;
-/// Largest number of members out of reach that are sent to it as well.
-constexpr std::size_t MaxInitialUnreachable = 200;
 /// Number of hosts that tell a newcomer of the members out of reach. The first
 /// hosts that it meets may be newcomers themselves.
 constexpr std::size_t HostsThatTellNewcomers = 6;
@@ -333,42 +329,6 @@
   Members.onPingRequest(Now, From, Message);
 }
 
-/// Returns the hosts that this one cannot reach, but that may be at work.
-std::vector<MemberRecord>
-FleetGossip::unreachableHosts(const MemberRecord &Newcomer) const {
-  std::vector<MemberRecord> Result = Size.unreachableHosts(Now, PeerAddresses);
-  std::erase_if(Result, [&Newcomer](const MemberRecord &Member) {
-    return Member.PeerAddress == Newcomer.PeerAddress;
-  });
-  Result.resize(std::min(Result.size(), MaxInitialUnreachable));
-  return Result;
-}
-
-void FleetGossip::sendUnreachableHosts(const MemberRecord &Newcomer) {
-  SoftState Unreachable;
-  Unreachable.Members = unreachableHosts(Newcomer);
-  if (!Unreachable.Members.empty())
-    send(Newcomer.PeerAddress, std::move(Unreachable));
-}
-
-void FleetGossip::sendInitialView(const MemberRecord &Newcomer) {
-  SoftState InitialView;
-  InitialView.Members = Members.reachablePeers();
-  InitialView.Members.push_back(Members.self());
-  std::erase_if(InitialView.Members, [&Newcomer](const MemberRecord &Member) {
-    return Member.Host == Newcomer.Host;
-  });
-  // Each newcomer gets a different selection, so that newcomers contact
-  // different hosts next.
-  std::shuffle(InitialView.Members.begin(), InitialView.Members.end(), Random);
-  if (InitialView.Members.size() > MaxInitialMembers)
-    InitialView.Members.resize(MaxInitialMembers);
-  for (MemberRecord &Member : unreachableHosts(Newcomer))
-    InitialView.Members.push_back(std::move(Member));
-  InitialView.Crashes = Notices.crashes(Now);
-  send(Newcomer.PeerAddress, std::move(InitialView));
-}
-
 void FleetGossip::handle(const HostName &From, const SoftState &Message) {
   // Records already known here were forwarded when they first arrived.
   Size.onToldMembers(Now, Message.Members);
