--- a/settings/toml_reader.cpp
+++ b/settings/toml_reader.cpp
@@ -240,11 +240,11 @@
 
 std::string TableReader::readAddressOr(std::string_view Key,
                                        std::string Default) {
-  return find(Key) == nullptr ? Default : readRequiredAddress(Key);
+  return find(Key) == nullptr ? std::move(Default) : readRequiredAddress(Key);
 }
 
 std::string TableReader::readIpAddressOr(std::string_view Key,
-                                         std::string Default) {
+                                         const std::string &Default) {
   std::string Text = readStringOr(Key, Default);
   if (Text != Default && !isAddress(Text + ":1"))
     reportError(Key, fmt::format("found \"{}\", expected an IP address such as "
--- a/settings/toml_reader.h
+++ b/settings/toml_reader.h
@@ -60,7 +60,7 @@
   std::string readRequiredAddress(std::string_view Key);
   std::string readAddressOr(std::string_view Key, std::string Default);
   /// Reads an IPv4 address without a port.
-  std::string readIpAddressOr(std::string_view Key, std::string Default);
+  std::string readIpAddressOr(std::string_view Key, const std::string &Default);
   /// Reads a string that is one of \p Allowed.
   std::string readChoiceOr(std::string_view Key, std::string Default,
                            const std::vector<std::string> &Allowed);
