Tell other hosts the true age of hosts that are out of reach

What callers would have seen: more retries and more requests at limited servers than allowed. Cause: the age was computed from the time until which a host counts, which is the end of time for seeds. The age told was far below zero; a host whose clock is ahead overflowed on adding to it and forgot the host at once, so that its share grew; membership could keep such a record for ever. Change: a host remembers when it got a record, and tells the time since. Ages that others tell count from 0 to 30 minutes, and the codec takes ages below zero for 0.

--- a/direct/fleet_size.cpp
+++ b/direct/fleet_size.cpp
@@ -18,6 +18,12 @@
   return Member.Status <= MemberStatus::Suspect;
 }
 
+/// When the host of \p Member was in its state. Ages that other hosts told may
+/// have any value.
+Instant recordedAt(Instant Now, const MemberRecord &Member) {
+  return Now - std::clamp(Member.Age, Duration::zero(), UnreachableLifetime);
+}
+
 /// Whether \p Left says more about the present state of its address.
 bool isNewer(const MemberRecord &Left, const MemberRecord &Right) {
   if (isReachable(Left) || isReachable(Right))
@@ -44,10 +50,12 @@
   return &Result;
 }
 
-void FleetSize::add(const MemberRecord &Member, Instant Until) {
-  OtherHost *Added = add(Member.PeerAddress, Until);
-  if (Added != nullptr)
-    Added->Record = Member;
+void FleetSize::add(const MemberRecord &Member, Instant RecordedAt) {
+  OtherHost *Added = add(Member.PeerAddress, RecordedAt + UnreachableLifetime);
+  if (Added == nullptr)
+    return;
+  Added->Record = Member;
+  Added->RecordedAt = std::max(Added->RecordedAt, RecordedAt);
 }
 
 void FleetSize::onMembers(Instant Now,
@@ -64,10 +72,11 @@
   for (const auto &[Address, Member] : Latest) {
     if (CompleteAt == Instant::max())
       CompleteAt = Now + DiscoveryTime;
+    const Instant At = recordedAt(Now, *Member);
     if (Member->Status == MemberStatus::Left)
-      Others[Address] = {Now - Member->Age + LeftLifetime, *Member};
+      Others[Address] = {At + LeftLifetime, *Member, At};
     else
-      add(*Member, Now - Member->Age + UnreachableLifetime);
+      add(*Member, At);
   }
 }
 
@@ -75,7 +84,7 @@
                               const std::vector<MemberRecord> &Members) {
   for (const MemberRecord &Member : Members)
     if (Member.Status == MemberStatus::Dead)
-      add(Member, Now - Member.Age + UnreachableLifetime);
+      add(Member, recordedAt(Now, Member));
 }
 
 void FleetSize::onListed(Instant Now,
@@ -93,11 +102,12 @@
   std::vector<MemberRecord> Result;
   for (const auto &[Address, Host] : Others) {
     if (!Host.Record || Host.Record->Status == MemberStatus::Left ||
-        Host.ForgetAt <= Now || Reachable.contains(Address))
+        Host.RecordedAt + UnreachableLifetime <= Now ||
+        Reachable.contains(Address))
       continue;
     Result.push_back(*Host.Record);
     Result.back().Status = MemberStatus::Dead;
-    Result.back().Age = UnreachableLifetime - (Host.ForgetAt - Now);
+    Result.back().Age = Now - Host.RecordedAt;
   }
   return Result;
 }
--- a/direct/fleet_size.h
+++ b/direct/fleet_size.h
@@ -59,10 +59,12 @@
     Instant ForgetAt{};
     /// The last record of the host; none if only its address is known.
     std::optional<MemberRecord> Record;
+    /// When the host was in the state of its record.
+    Instant RecordedAt{};
   };
 
   OtherHost *add(const std::string &Address, Instant Until);
-  void add(const MemberRecord &Member, Instant Until);
+  void add(const MemberRecord &Member, Instant RecordedAt);
 
   const std::string Self;
   const bool HasSeeds;
--- a/tests/direct/fleet_size_test.cpp
+++ b/tests/direct/fleet_size_test.cpp
@@ -1,6 +1,8 @@
 /// \file
 /// The number of hosts that share limits of the whole fleet. Guards against
 /// more retries than allowed while hosts cannot reach each other.
+#include "direct/fleet_size.h"
+
 #include "tests/direct/gossip_fleet.h"
 
 namespace mimosacart {
@@ -185,5 +187,40 @@
   EXPECT_EQ(sharingHosts(3), 40U);
 }
 
+/// The count of one host, fed with records.
+class FleetSizeRecordTest : public testing::Test {
+protected:
+  static MemberRecord lostHost(const std::string &Address, Duration Age) {
+    MemberRecord Result;
+    Result.Host = HostName(Address);
+    Result.PeerAddress = Address;
+    Result.Status = MemberStatus::Dead;
+    Result.Age = Age;
+    return Result;
+  }
+  std::size_t countOthers() const {
+    return Size.countOthers([](const std::string &) { return true; });
+  }
+
+  Instant Now{1h};
+  FleetSize Size{"self", {"seed"}};
+};
+
+// Guards against ages below zero, with which other hosts forget a host at once.
+TEST_F(FleetSizeRecordTest, unreachableHosts_seedOutOfReach_tellsItsAge) {
+  Size.onMembers(Now, {lostHost("seed", 5s)});
+  const auto Told = Size.unreachableHosts(Now + 60s, {});
+  ASSERT_EQ(Told.size(), 1U);
+  EXPECT_EQ(Told.front().Age, 65s);
+}
+
+TEST_F(FleetSizeRecordTest, onToldMembers_ageBelowZero_isCountedAndForgotten) {
+  Size.onToldMembers(Now, {lostHost("other", Duration::min())});
+  Size.expire(Now + 1s);
+  EXPECT_EQ(countOthers(), 2U);
+  Size.expire(Now + 31min);
+  EXPECT_EQ(countOthers(), 1U);
+}
+
 } // namespace
 } // namespace mimosacart
--- a/tests/wire/peer_codec_test.cpp
+++ b/tests/wire/peer_codec_test.cpp
@@ -160,6 +160,15 @@
   EXPECT_EQ(std::get<Ping>(Read.Body).Tables, Message.Tables);
 }
 
+TEST(PeerCodecTest, decode_ageBelowZero_isZero) {
+  SoftState Body;
+  Body.Members.emplace_back();
+  Body.Members.back().Age = -5s;
+  const auto Decoded = decode(encode(wrap(Body)));
+  ASSERT_TRUE(Decoded.has_value());
+  EXPECT_EQ(std::get<SoftState>(Decoded.value().Body).Members.front().Age, 0s);
+}
+
 TEST(PeerCodecTest, decode_otherProtocol_isRejected) {
   EXPECT_TRUE(decode("").has_error());
   EXPECT_TRUE(decode("GET / HTTP/1.1\r\n\r\n").has_error());
--- a/wire/view_codec.cpp
+++ b/wire/view_codec.cpp
@@ -2,6 +2,8 @@
 
 #include "wire/field_checks.h"
 
+#include <algorithm>
+
 namespace mimosacart {
 
 void write(const ConfigurationId &From, wire::Mark &To) {
@@ -54,7 +56,7 @@
   To.CallerAddress = From.caller_address();
   To.Epoch = From.epoch();
   To.Successor = HostName(From.successor());
-  To.Age = Duration(From.age_us());
+  To.Age = Duration(std::max<std::int64_t>(0, From.age_us()));
   return To;
 }
 
