Take no suspicion for later than now after a pause

What callers would have seen: a dead host in the directory, and with a part of the limits, for as long as this process had been suspended. Cause: the time of a suspension is added to that of all suspicions at the first tick after it, also to one that a message brought just before that tick. It then lay in the future. Change: it lies at the present at the latest. Failed before, passes now: MembershipTest.tick_toldOfSuspectOnWaking_takesItForDeadInTime.

--- a/core/membership.cpp
+++ b/core/membership.cpp
@@ -120,7 +120,7 @@
     Unanswered.SentAt += Suspended;
   for (auto &[Host, Entry] : Members)
     if (Entry.Record.Status == MemberStatus::Suspect)
-      Entry.UpdatedAt += Suspended;
+      Entry.UpdatedAt = std::min(Entry.UpdatedAt + Suspended, Now);
 }
 
 void Membership::pingSeed() {
--- a/tests/core/membership_test.cpp
+++ b/tests/core/membership_test.cpp
@@ -102,5 +102,19 @@
   EXPECT_EQ(Question->Members.front().Status, MemberStatus::Dead);
 }
 
+// Guards against a host that counts as reachable for as long as this process
+// was suspended, since news of it came first when the process went on.
+TEST_F(MembershipTest, tick_toldOfSuspectOnWaking_takesItForDeadInTime) {
+  Members.tick(Now);
+  Now += 20s;
+  MemberRecord Suspected = recordOf("a");
+  Suspected.Status = MemberStatus::Suspect;
+  Members.merge(Now, Suspected, UpdateSource::Relayed);
+  for (const Instant End = Now + Times.DeadAfter + 500ms; Now < End;
+       Now += 50ms)
+    Members.tick(Now);
+  EXPECT_EQ(statusOf("a"), MemberStatus::Dead);
+}
+
 } // namespace
 } // namespace mimosacart
