Quarantine a request for the service whose servers it crashes

Cause: the fingerprint of a request did not name the service, so that each copy that the first service served excused the crashes of the second. Change: the service is part of the fingerprint. Two versions of one service are still taken for alike. Evidence: DirectNodeCrashTest.onRequest_crashesOneServiceOfSplit_isRefusedThere failed before (5 crashes, 3 allowed) and passes now.

--- a/direct/direct_node.cpp
+++ b/direct/direct_node.cpp
@@ -12,9 +12,12 @@
 /// Retry delay sent to callers while this host has no configuration.
 constexpr Duration NotReadyRetryAfter = std::chrono::milliseconds(300);
 
-std::uint64_t fingerprintOf(const std::string &Host,
+/// Requests that are alike count as others if another service of a split gets
+/// them: what one serves may crash the other.
+std::uint64_t fingerprintOf(const std::string &Host, const ServiceName &Service,
                             const CallerRequest &Request) {
   std::uint64_t Hash = stableHash(Host, 0);
+  Hash = stableHash(Service.value(), Hash);
   Hash = stableHash(Request.Method, Hash);
   Hash = stableHash(Request.Target, Hash);
   Hash = stableHash(Request.Caller, Hash);
@@ -111,7 +114,7 @@
                               : Found->second;
   RoutedRequest.Arrived = Now;
   RoutedRequest.Deadline = Now + EffectiveTimeout;
-  RoutedRequest.Fingerprint = fingerprintOf(Host, *Request);
+  RoutedRequest.Fingerprint = fingerprintOf(Host, Service, *Request);
   RoutedRequest.Request = std::move(Request);
   Callbacks.Log(
       "arrived",
--- a/tests/direct/direct_node_crash_test.cpp
+++ b/tests/direct/direct_node_crash_test.cpp
@@ -29,7 +29,7 @@
       Results[Result.Id] = Result.Refused.Reason;
     };
     Callbacks.Send = [](const std::string &, const PeerMessage &) {};
-    Callbacks.ReadConfiguration = [](const TableRow &) {
+    Callbacks.ReadConfiguration = [this](const TableRow &) {
       return makeConfiguration();
     };
     Callbacks.ReadServer = [](const TableRow &Row) {
@@ -44,13 +44,19 @@
                                  const std::vector<CrashNotice> &) {};
     Callbacks.Records.Remove = [](std::uint64_t) {};
     Node.emplace(Now, DirectNodeSettings{}, std::move(Callbacks));
+    configure();
+  }
+
+  void configure() {
+    const std::uint64_t Version = ++LastVersion;
     Node->onRows(Now, StoreTable::Routes,
-                 {{"config", ++LastVersion, false, ""}}, LastVersion);
+                 {{"config", Version, false, std::to_string(Version)}},
+                 Version);
   }
 
-  static std::variant<RouteConfigurationPtr, UnusableRow> makeConfiguration() {
+  std::variant<RouteConfigurationPtr, UnusableRow> makeConfiguration() const {
     RouteConfiguration Configuration;
-    Configuration.Version = 1;
+    Configuration.Version = LastVersion;
     HostRoute Route;
     Route.Name = "r";
     Route.Host = "a.example";
@@ -58,7 +64,8 @@
     Route.Timeout = 2s;
     Route.Objective = 500ms;
     Route.MaxAttempts = 1;
-    Route.Services = {{ServiceName("records"), 1}};
+    for (const char *Service : Services)
+      Route.Services.push_back({ServiceName(Service), 1});
     Configuration.Routes.push_back(Route);
     return std::make_shared<const RouteConfiguration>(Configuration);
   }
@@ -67,7 +74,7 @@
                                      const std::string &Address) {
     DiscoveredServer Server;
     Server.Id = ServerName(Id);
-    Server.Service = ServiceName("records");
+    Server.Service = ServiceName(Id.starts_with("split") ? "split" : "records");
     Server.Address = Address;
     Server.Slots = 2;
     return Server;
@@ -148,6 +155,7 @@
   }
 
   Instant Now{1h};
+  std::vector<const char *> Services = {"records"};
   std::optional<DirectNode> Node;
   std::vector<DirectCall> OpenCalls;
   std::vector<DirectProbe> OpenProbes;
@@ -163,6 +171,32 @@
   EXPECT_TRUE(isRefused(send()));
 }
 
+// Guards against a request that one service of a split serves and that crashes
+// each server of the other.
+TEST_F(DirectNodeCrashTest, onRequest_crashesOneServiceOfSplit_isRefusedThere) {
+  Services = {"records", "split"};
+  configure();
+  addServer("a", "a");
+  for (const char *Id : {"split-1", "split-2", "split-3", "split-4", "split-5"})
+    addServer(Id, Id);
+  unsigned Crashes = 0;
+  for (unsigned Copy = 0; Copy < 30; ++Copy) {
+    send();
+    if (OpenCalls.empty())
+      continue;
+    const DiscoveredServer Called = OpenCalls.back().Server;
+    if (Called.Service == ServiceName("records")) {
+      answerCalls();
+      continue;
+    }
+    ++Crashes;
+    crashCalledServers();
+    removeServer(Called.Id.value());
+    advance(4s);
+  }
+  EXPECT_EQ(Crashes, 3U);
+}
+
 // Guards against refusing all requests of a kind because one process ended
 // whose earlier ids are still in discovery.
 TEST_F(DirectNodeCrashTest, onRequest_processWithThreeIdsEnded_isPassedOn) {
