Add the configuration of workspaces, cold servers, regions and hedges

Cause: nothing in the code could express who a request is for, what a workspace may send, or what a cold server takes. Measured: nothing; types only.

--- a/core/request.cpp
+++ b/core/request.cpp
@@ -10,7 +10,9 @@
 /// body.
 constexpr const char *OutcomeHeader = "Mimosacart-Outcome";
 
+constexpr unsigned StatusUnauthorized = 401;
 constexpr unsigned StatusNotFound = 404;
+constexpr unsigned StatusTooManyRequests = 429;
 constexpr unsigned StatusBadRequest = 400;
 constexpr unsigned StatusConflict = 409;
 constexpr unsigned StatusGone = 410;
@@ -94,6 +96,14 @@
     return "hop-limit";
   case RefusalReason::StillRunning:
     return "still-running";
+  case RefusalReason::KeyMissing:
+    return "key-missing";
+  case RefusalReason::KeyMalformed:
+    return "key-malformed";
+  case RefusalReason::KeyUnknown:
+    return "key-unknown";
+  case RefusalReason::OverQuota:
+    return "over-quota";
   }
   return "none";
 }
@@ -106,6 +116,12 @@
     return StatusKeyRequired;
   case RefusalReason::BadToken:
     return StatusBadRequest;
+  case RefusalReason::KeyMissing:
+  case RefusalReason::KeyMalformed:
+  case RefusalReason::KeyUnknown:
+    return StatusUnauthorized;
+  case RefusalReason::OverQuota:
+    return StatusTooManyRequests;
   case RefusalReason::AnswerDropped:
     return StatusGone;
   case RefusalReason::TokenExpired:
--- a/direct/flow_types.h
+++ b/direct/flow_types.h
@@ -21,6 +21,11 @@
   Instant Arrived{};
   /// The earlier of the caller's and the route's timeout.
   Instant Deadline{};
+  /// Workspace of the caller; null if the route needs none.
+  WorkspacePtr Workspace;
+  /// 0 is the most urgent. That of the workspace, if it has one, else of the
+  /// route.
+  unsigned Priority = 0;
   /// Equal for identical requests of one caller.
   std::uint64_t Fingerprint = 0;
 };
--- a/direct/route_configuration.h
+++ b/direct/route_configuration.h
@@ -3,12 +3,15 @@
 #pragma once
 
 #include "core/ids.h"
+#include "core/key_digest.h"
 #include "core/time.h"
 
 #include <cstddef>
 #include <cstdint>
 #include <map>
 #include <memory>
+#include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -41,6 +44,10 @@
   unsigned Priority = 0;
   /// Greatest number of servers that one request is sent to.
   unsigned MaxAttempts = 1;
+  /// Whether requests need a key if the configuration has workspaces.
+  bool NeedsKey = true;
+  /// Regions whose servers may run the requests; empty if all may.
+  std::set<std::string> Regions;
   /// Never empty.
   std::vector<WeightedService> Services;
 
@@ -55,11 +62,40 @@
   std::string HealthPath;
   /// Connections that a server accepts from the whole fleet.
   unsigned Connections = 0;
+  /// Requests a second that a cold server takes from all hosts together; not
+  /// set if cold servers take any number.
+  std::optional<double> ColdRequestsPerSecond;
 
   friend bool operator==(const ServiceSettings &,
                          const ServiceSettings &) = default;
 };
 
+/// Requests that a workspace may send, all hosts together: a token bucket.
+struct WorkspaceQuota {
+  double RequestsPerSecond = 0;
+  /// Size of the bucket in requests.
+  double Burst = 0;
+
+  friend bool operator==(const WorkspaceQuota &,
+                         const WorkspaceQuota &) = default;
+};
+
+/// A group of callers with their keys and limits.
+struct Workspace {
+  std::string Name;
+  std::vector<KeyDigest> Keys;
+  /// Replaces the priority of the route.
+  std::optional<unsigned> Priority;
+  /// Not set if the workspace may send any number of requests.
+  std::optional<WorkspaceQuota> Quota;
+  /// Regions whose servers may run the requests; empty if all may.
+  std::set<std::string> Regions;
+
+  friend bool operator==(const Workspace &, const Workspace &) = default;
+};
+
+using WorkspacePtr = std::shared_ptr<const Workspace>;
+
 /// Limits on the size and the duration of callers' requests and on idle
 /// connections.
 struct CallerRequestLimits {
@@ -78,6 +114,8 @@
   std::uint64_t Version = 0;
   std::vector<HostRoute> Routes;
   std::map<ServiceName, ServiceSettings> Services;
+  /// Not set if callers need no keys. If it is empty, no key is valid.
+  std::optional<std::vector<Workspace>> Workspaces;
   CallerRequestLimits Limits;
 
   friend bool operator==(const RouteConfiguration &,
--- a/settings/host_settings.cpp
+++ b/settings/host_settings.cpp
@@ -86,6 +86,15 @@
       Reader.readDurationOr("retry_window", Result.RetryWindow);
   Result.IsFirstStart = Reader.readBooleanOr("first_start", false);
   Result.StopGrace = Reader.readDurationOr("stop_grace", Result.StopGrace);
+  QuotaBounds &Quotas = Result.Quotas;
+  Quotas.Window = Reader.readDurationOr("quota_window", Quotas.Window);
+  Quotas.Overrun = Reader.readNumberOr("quota_overrun", Quotas.Overrun);
+  Quotas.Slack = Reader.readNumberOr("quota_slack", Quotas.Slack);
+  ColdServerBounds &Cold = Result.ColdServers;
+  Cold.Overrun = Reader.readNumberOr("warm_up_overrun", Cold.Overrun);
+  Cold.Slack = Reader.readNumberOr("warm_up_slack", Cold.Slack);
+  if (Reader.has("hedge_share"))
+    Result.HedgeShare = Reader.readNumberOr("hedge_share", 0);
   Reader.reportUnknownKeys();
   return Result;
 }
@@ -107,6 +116,7 @@
   Result.SeedAddresses = Peers.readAddressesOr("seeds", {});
   Result.AdvertisedPeerAddress = Peers.readAddressOr("advertise", "");
   Peers.reportUnknownKeys();
+  Result.Regions = Root.readTableOrEmpty("regions").readStrings();
   TableReader Network = Root.readTableOrEmpty("network");
   Result.SourceAddress = Network.readIpAddressOr("source", "");
   Network.reportUnknownKeys();
--- a/settings/host_settings.h
+++ b/settings/host_settings.h
@@ -7,6 +7,7 @@
 #include "core/time.h"
 #include "settings/toml_reader.h"
 
+#include <map>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -28,6 +29,26 @@
   Duration ReadTimeout = std::chrono::seconds(10);
 };
 
+/// Bounds of the quotas of workspaces: in any Window the fleet admits at most
+/// the requests of the quota, times 1 + Overrun, plus Slack.
+struct QuotaBounds {
+  Duration Window = std::chrono::seconds(5);
+  double Overrun = 0.1;
+  double Slack = 20;
+
+  friend bool operator==(const QuotaBounds &, const QuotaBounds &) = default;
+};
+
+/// Bounds on the requests to a cold server: in any second the fleet sends at
+/// most those that its service names, times Overrun, plus Slack.
+struct ColdServerBounds {
+  double Overrun = 1;
+  double Slack = 0;
+
+  friend bool operator==(const ColdServerBounds &,
+                         const ColdServerBounds &) = default;
+};
+
 /// Settings of an entry host that reads servers and routes from the store and
 /// calls the servers directly.
 struct DirectSettings {
@@ -47,12 +68,19 @@
   bool IsFirstStart = false;
   /// Grace period of a planned stop; the process is killed at its end.
   Duration StopGrace = std::chrono::seconds(6);
+  QuotaBounds Quotas;
+  ColdServerBounds ColdServers;
+  /// Hedges of idempotent requests to a service, as a share of its requests; 0
+  /// switches hedging off. Not set: a fixed share of the retry limits.
+  std::optional<double> HedgeShare;
 };
 
 /// Settings of an entry host.
 struct HostSettings {
   HostName Name;
   std::string DataCentre;
+  /// Region of each data centre; empty if regions do not matter.
+  std::map<std::string, std::string> Regions;
   /// Memory that the process may use, in bytes. Bounds the messages that it
   /// holds.
   std::size_t MemoryBytes = std::size_t(512) << 20U;
--- a/settings/toml_reader.cpp
+++ b/settings/toml_reader.cpp
@@ -366,6 +366,15 @@
   return Result;
 }
 
+std::map<std::string, std::string> TableReader::readStrings() {
+  std::map<std::string, std::string> Result;
+  for (const auto &Entry : *Table) {
+    const std::string Key(Entry.first.str());
+    Result[Key] = readRequiredString(Key);
+  }
+  return Result;
+}
+
 TableReader TableReader::readRequiredTable(std::string_view Key) {
   if (Table->get(Key) == nullptr)
     reportError(Key, "missing table, but required");
--- a/settings/toml_reader.h
+++ b/settings/toml_reader.h
@@ -9,6 +9,7 @@
 #include <toml++/toml.h>
 
 #include <cstdint>
+#include <map>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -76,6 +77,11 @@
   std::vector<std::string> readAddressesOr(std::string_view Key,
                                            std::vector<std::string> Default);
 
+  /// Reads a table whose keys are free and whose values are strings.
+  std::map<std::string, std::string> readStrings();
+  /// Whether the table has \p Key.
+  bool has(std::string_view Key) const { return Table->contains(Key); }
+
   /// Returns a reader of the table \p Key. Reports an error and returns a
   /// reader of an empty table if \p Key is missing or not a table.
   TableReader readRequiredTable(std::string_view Key);
--- a/wire/peer_codec.cpp
+++ b/wire/peer_codec.cpp
@@ -174,7 +174,7 @@
   // Without its answer, an answered attempt must not count as a success.
   if (To.Result.End == AttemptEnd::Answered && !To.Result.Reply)
     throw BadField();
-  To.Result.Reason = checkedEnum(From.reason(), RefusalReason::StillRunning);
+  To.Result.Reason = checkedEnum(From.reason(), RefusalReason::OverQuota);
   To.Result.Server = ServerName(From.server());
   To.Result.ServiceTime = Duration(From.service_time_us());
   if (From.has_load())
