Put the new wish of servers last, where initializers do not name it

Cause: tests initialize ServerWishes by position, and did not compile. Change: the field moves to the end. Measured: nothing; a build error.

--- a/direct/discovered_server.h
+++ b/direct/discovered_server.h
@@ -58,10 +58,10 @@
   /// Time for which the server wants no requests of this host; set on refusals
   /// only.
   std::optional<Duration> QuietFor;
-  /// Remaining time for which the server is cold; not set if it does not say.
-  std::optional<Duration> WarmUpLeft;
   /// A value could not be read and is ignored.
   bool Invalid = false;
+  /// Remaining time for which the server is cold; not set if it does not say.
+  std::optional<Duration> WarmUpLeft;
 
   friend bool operator==(const ServerWishes &, const ServerWishes &) = default;
 };
