Check callers' keys, name their workspace to servers, evacuate data centres

Callers saw: any key was taken and passed on to servers; servers of an evacuated data centre went on getting requests. Cause: nothing read workspaces, keys or evacuations. Change: WorkspaceDirectory finds the workspace of a key by its digest; requests without a valid key get 401. Servers get the workspace's name in place of the key. The registry gives out no server of an evacuated data centre. Downloads count as idempotent.

--- a/daemon/direct_host_process.cpp
+++ b/daemon/direct_host_process.cpp
@@ -204,6 +204,7 @@
     Peers.send(Address, encode(Message));
   };
   Result.ReadConfiguration = readConfiguration;
+  Result.ReadEvacuation = readEvacuation;
   Result.ReadServer = readServer;
   Result.SetReadMode = [this](StoreTable Table, ReadMode Mode) {
     follower(Table).setReadMode(Mode);
--- a/direct/direct_node.cpp
+++ b/direct/direct_node.cpp
@@ -97,6 +97,11 @@
     refuse(Now, Id, *Request, RefusalReason::NoRoute);
     return;
   }
+  WorkspaceCheck Check = Workspaces->check(*Route, Request->WorkspaceKey);
+  if (Check.Reason != RefusalReason::None) {
+    refuse(Now, Id, *Request, Check.Reason);
+    return;
+  }
   const Duration EffectiveTimeout =
       std::min(Request->Timeout.value_or(Route->Timeout), Route->Timeout);
   // Its server might still be at work on it when this process ends.
@@ -110,8 +115,14 @@
   const ServiceName Service = Split.next(*Route);
   const auto Found = Configuration->Services.find(Service);
   RoutedRequest.Service = Found == Configuration->Services.end()
-                              ? ServiceSettings{Service, "/", 0}
+                              ? ServiceSettings{Service, "/", 0, {}}
                               : Found->second;
+  RoutedRequest.Workspace = std::move(Check.Owner);
+  RoutedRequest.ReplacesKey = Workspaces->hasWorkspaces();
+  const bool HasPriority =
+      RoutedRequest.Workspace && RoutedRequest.Workspace->Priority;
+  RoutedRequest.Priority =
+      HasPriority ? *RoutedRequest.Workspace->Priority : Route->Priority;
   RoutedRequest.Arrived = Now;
   RoutedRequest.Deadline = Now + EffectiveTimeout;
   RoutedRequest.Fingerprint = fingerprintOf(Host, Service, *Request);
@@ -121,6 +132,8 @@
       {{"request", RoutedRequest.Request->TraceId},
        {"route", Route->Name},
        {"service", Service.value()},
+       {"workspace",
+        RoutedRequest.Workspace ? RoutedRequest.Workspace->Name : "none"},
        {"configuration", std::to_string(Configuration->Version)},
        {"allowed_ms", std::to_string(wholeMilliseconds(EffectiveTimeout))},
        {"fingerprint", std::to_string(RoutedRequest.Fingerprint)},
@@ -130,8 +143,11 @@
 
 void DirectNode::refuse(Instant /*Now*/, RequestId Id,
                         const CallerRequest &Request, RefusalReason Reason) {
+  // The others are refused again however long the caller waits.
+  const bool MayComeBack = Reason == RefusalReason::NoConfiguration ||
+                           Reason == RefusalReason::Stopping;
   const Duration RetryAfter =
-      Reason == RefusalReason::NoRoute ? Duration::zero() : NotReadyRetryAfter;
+      MayComeBack ? NotReadyRetryAfter : Duration::zero();
   Callbacks.Log("reply",
                 {{"request", Request.TraceId},
                  {"outcome", toString(RefusalOutcome::NotRun)},
@@ -252,6 +268,11 @@
 }
 
 void DirectNode::onRouteRow(const TableRow &Row) {
+  if (Callbacks.ReadEvacuation)
+    if (const auto DataCentre = Callbacks.ReadEvacuation(Row)) {
+      setEvacuated(*DataCentre, !Row.Removed);
+      return;
+    }
   // Operators never remove the configuration on purpose. If its row is removed,
   // the last configuration stays in force.
   if (Row.Removed)
@@ -274,21 +295,38 @@
                    {"in_force", std::to_string(Configuration->Version)}});
     return;
   }
+  applyConfiguration(Row, NewConfiguration);
+}
+
+void DirectNode::applyConfiguration(
+    const TableRow &Row, const RouteConfigurationPtr &NewConfiguration) {
+  const std::size_t WorkspaceCount =
+      NewConfiguration->Workspaces ? NewConfiguration->Workspaces->size() : 0;
   Callbacks.Log(
       "configuration_in_force",
       {{"configuration", std::to_string(NewConfiguration->Version)},
        {"before", std::to_string(configurationVersion())},
        {"row_version", std::to_string(Row.Version.number())},
        {"routes", std::to_string(NewConfiguration->Routes.size())},
-       {"services", std::to_string(NewConfiguration->Services.size())}});
+       {"services", std::to_string(NewConfiguration->Services.size())},
+       {"workspaces", std::to_string(WorkspaceCount)}});
   const bool IsFirst = !Routes.has_value();
   Configuration = NewConfiguration;
   Routes.emplace(NewConfiguration);
+  Workspaces.emplace(NewConfiguration);
   Callbacks.Configured(*NewConfiguration);
   if (IsFirst && !Stopping)
     Fleet.join(Now);
 }
 
+void DirectNode::setEvacuated(const std::string &DataCentre, bool IsEvacuated) {
+  if (!Registry.setEvacuated(DataCentre, IsEvacuated))
+    return;
+  Callbacks.Log(
+      "evacuation_changed",
+      {{"data_centre", DataCentre}, {"evacuated", IsEvacuated ? "yes" : "no"}});
+}
+
 bool DirectNode::isOfEarlierStart(const DiscoveredServer &Server) const {
   const DiscoveredServer *Known = Registry.find(Server.Id);
   return Known != nullptr && Server.Incarnation != 0 &&
--- a/direct/direct_node.h
+++ b/direct/direct_node.h
@@ -9,6 +9,7 @@
 #include "direct/request_flow.h"
 #include "direct/table_cache.h"
 #include "direct/traffic_split.h"
+#include "direct/workspace_directory.h"
 
 #include <functional>
 #include <optional>
@@ -51,6 +52,9 @@
     std::function<std::variant<RouteConfigurationPtr, UnusableRow>(
         const TableRow &)>
         ReadConfiguration;
+    /// Returns the data centre that a row of the routes table evacuates while
+    /// it exists; nothing for other rows.
+    std::function<std::optional<std::string>(const TableRow &)> ReadEvacuation;
     /// Parses a row of the servers table.
     std::function<std::variant<DiscoveredServer, UnusableRow>(const TableRow &)>
         ReadServer;
@@ -153,6 +157,10 @@
   const ServerConstraints &constraints() const { return Flow.constraints(); }
   /// Time of the latest event.
   Instant latestEvent() const { return Now; }
+  /// Data centres to whose servers nothing is sent.
+  const std::set<std::string> &evacuated() const {
+    return Registry.evacuated();
+  }
   /// Number of crashes of servers that this host knows of.
   std::size_t crashNotices() const { return Fleet.crashNotices(); }
   const FlowCounters &counters() const { return Flow.counters(); }
@@ -160,6 +168,10 @@
 private:
   RequestFlow::Hooks flowHooks();
   void onRouteRow(const TableRow &Row);
+  void applyConfiguration(const TableRow &Row,
+                          const RouteConfigurationPtr &NewConfiguration);
+  /// Begins or ends the evacuation of a data centre.
+  void setEvacuated(const std::string &DataCentre, bool IsEvacuated);
   void onServerRow(const TableRow &Row);
   void onServerChanged(const DiscoveredServer &Server, ServerChange Change);
   void refuse(Instant Now, RequestId Id, const CallerRequest &Request,
@@ -191,6 +203,7 @@
   std::optional<std::uint64_t> StoreEra;
   RouteConfigurationPtr Configuration;
   std::optional<HostRoutes> Routes;
+  std::optional<WorkspaceDirectory> Workspaces;
   TrafficSplit Split;
   ServerLoadTable ServerLoads;
   ServerRegistry Registry;
--- a/direct/discovered_server.h
+++ b/direct/discovered_server.h
@@ -61,7 +61,7 @@
   /// A value could not be read and is ignored.
   bool Invalid = false;
   /// Remaining time for which the server is cold; not set if it does not say.
-  std::optional<Duration> WarmUpLeft;
+  std::optional<Duration> WarmUpLeft = std::nullopt;
 
   friend bool operator==(const ServerWishes &, const ServerWishes &) = default;
 };
--- a/direct/flow_types.h
+++ b/direct/flow_types.h
@@ -23,11 +23,16 @@
   Instant Deadline{};
   /// Workspace of the caller; null if the route needs none.
   WorkspacePtr Workspace;
+  /// The caller's key is meant for this host: a server gets the name of the
+  /// workspace in its place.
+  bool ReplacesKey = false;
   /// 0 is the most urgent. That of the workspace, if it has one, else of the
   /// route.
   unsigned Priority = 0;
   /// Equal for identical requests of one caller.
   std::uint64_t Fingerprint = 0;
+
+  bool isMostUrgent() const { return Priority == 0; }
 };
 
 /// A call to a server that the host has to make.
@@ -39,6 +44,9 @@
   Duration Remaining{};
   /// Time after which the call fails; longer than Remaining.
   Duration Timeout{};
+  /// See FlowRequest.
+  WorkspacePtr Workspace;
+  bool ReplacesKey = false;
 };
 
 /// A health probe that the host has to make.
--- a/direct/request_flow.cpp
+++ b/direct/request_flow.cpp
@@ -148,7 +148,8 @@
   scheduleHedge(Now, Flow);
   updateTimer(Flow);
   Callbacks.Call({Id, Server, Flow.Request.Request, Remaining,
-                  Remaining + Policy.LateAnswerGrace});
+                  Remaining + Policy.LateAnswerGrace, Flow.Request.Workspace,
+                  Flow.Request.ReplacesKey});
 }
 
 void RequestFlow::onCallResult(Instant Now, CallId Id,
--- a/direct/request_flow_choice.cpp
+++ b/direct/request_flow_choice.cpp
@@ -52,7 +52,7 @@
                            bool RecentOnly) {
   // Only the most urgent requests may take a slot that would saturate the
   // server.
-  const bool Urgent = Flow.Request.Route.isMostUrgent();
+  const bool Urgent = Flow.Request.isMostUrgent();
   const auto Found = std::find_if(
       RankedServers.begin(), RankedServers.end(),
       [Urgent, RecentOnly](const RankedServer &Server) {
@@ -131,7 +131,7 @@
                                  const RankedServer &Server) const {
   const HostRoute &Route = Flow.Request.Route;
   const Duration TimeLeft = Flow.Request.Arrived + Route.Objective - Now;
-  const double Factor = Route.isMostUrgent() ? 1 : Policy.HeadroomFactor;
+  const double Factor = Flow.Request.isMostUrgent() ? 1 : Policy.HeadroomFactor;
   return scaled(Server.ExpectedLatency, Factor) <= TimeLeft;
 }
 
--- a/direct/route_configuration.h
+++ b/direct/route_configuration.h
@@ -51,8 +51,6 @@
   /// Never empty.
   std::vector<WeightedService> Services;
 
-  bool isMostUrgent() const { return Priority == 0; }
-
   friend bool operator==(const HostRoute &, const HostRoute &) = default;
 };
 
--- a/direct/server_registry.cpp
+++ b/direct/server_registry.cpp
@@ -81,6 +81,19 @@
     remove(Now, Id, Interrupted);
 }
 
+bool ServerRegistry::setEvacuated(const std::string &DataCentre,
+                                  bool IsEvacuated) {
+  const bool Changed = IsEvacuated ? Evacuated.insert(DataCentre).second
+                                   : Evacuated.erase(DataCentre) > 0;
+  if (!Changed)
+    return false;
+  for (auto &[Service, Servers] : ServersByService) {
+    Servers.Revision = ++LastRevision;
+    Servers.Usable.reset();
+  }
+  return true;
+}
+
 void ServerRegistry::tick(Instant Now) {
   while (!PendingRemovals.empty() && PendingRemovals.begin()->first <= Now)
     erase(Entries.find(PendingRemovals.begin()->second));
@@ -138,7 +151,7 @@
     Servers.Usable.emplace();
     for (const ServerName &Id : Servers.Ids) {
       const DiscoveredServer &Server = Entries.at(Id).Server;
-      if (!Server.Draining)
+      if (!Server.Draining && !Evacuated.contains(Server.DataCentre))
         Servers.Usable->push_back(&Server);
     }
   }
--- a/direct/server_registry.h
+++ b/direct/server_registry.h
@@ -9,6 +9,7 @@
 #include <map>
 #include <optional>
 #include <set>
+#include <string>
 #include <utility>
 #include <vector>
 
@@ -54,11 +55,16 @@
   /// remove().
   void replace(Instant Now, const std::vector<DiscoveredServer> &Servers,
                bool Interrupted);
+  /// Begins or ends the evacuation of a data centre: its servers are not usable
+  /// meanwhile. Returns whether that is a change.
+  bool setEvacuated(const std::string &DataCentre, bool IsEvacuated);
+  const std::set<std::string> &evacuated() const { return Evacuated; }
   /// Removes entries whose removal delay has passed.
   void tick(Instant Now);
 
   const DiscoveredServer *find(const ServerName &Id) const;
-  /// Returns the servers of the service that accept new requests; valid until
+  /// Returns the servers of the service that accept new requests and are not in
+  /// an evacuated data centre; valid until
   /// the next change of the registry.
   const std::vector<const DiscoveredServer *> &
   usable(const ServiceName &Service) const;
@@ -97,6 +103,7 @@
   std::map<ServiceName, ServiceServers> ServersByService;
   /// Entries with a pending removal, by its time.
   std::set<std::pair<Instant, ServerName>> PendingRemovals;
+  std::set<std::string> Evacuated;
   std::uint64_t LastRevision = 0;
 };
 
--- a/tests/direct/flow_harness.cpp
+++ b/tests/direct/flow_harness.cpp
@@ -86,9 +86,10 @@
   FlowRequest NewRequest;
   NewRequest.Id = RequestId(++LastRequest);
   NewRequest.Route = Route;
-  NewRequest.Service = {ServiceName("records"), "/health", 100};
+  NewRequest.Service = {ServiceName("records"), "/health", 100, {}};
   NewRequest.Request =
       std::make_shared<const CallerRequest>(std::move(Request));
+  NewRequest.Priority = Route.Priority;
   NewRequest.Arrived = Now;
   NewRequest.Deadline = Now + Route.Timeout;
   NewRequest.Fingerprint = fingerprintOf(Body);
--- a/tests/platform/http_codec_test.cpp
+++ b/tests/platform/http_codec_test.cpp
@@ -263,5 +263,72 @@
   EXPECT_FALSE(readProbe(make_error_code(NetError::Broken)).Answered);
 }
 
+CallerKey readKeyOf(const std::vector<std::string> &Values) {
+  HttpRequest Request = makeRequest();
+  for (const std::string &Value : Values)
+    Request.Headers.push_back({"authorization", Value});
+  return readCallerRequest(Request)->WorkspaceKey;
+}
+
+// Guards against a key that is guessed from a header that others read
+// differently.
+TEST(HttpCodecTest, readCallerRequest_notExactlyOneKey_isMalformed) {
+  EXPECT_EQ(readKeyOf({}), CallerKey{});
+  EXPECT_EQ(readKeyOf({"Bearer k-1"}).Digest, digestKey("k-1"));
+  for (const char *Value :
+       {"", "Bearer", "Bearer ", "Bearer  k-1", "Basic k-1", "bearer k-1",
+        "Bearer k 1", "Bearer k-1, k-2", "Bearer\tk-1", "k-1"}) {
+    EXPECT_TRUE(readKeyOf({Value}).Malformed) << Value;
+    EXPECT_FALSE(readKeyOf({Value}).Digest) << Value;
+  }
+  const CallerKey Twice = readKeyOf({"Bearer k-1", "Bearer k-1"});
+  EXPECT_TRUE(Twice.Malformed);
+  EXPECT_FALSE(Twice.Digest);
+}
+
+// Guards against a caller's key or forged workspace that reaches a server.
+TEST(HttpCodecTest, writeServerCall_keyIsReplaced_serverGetsWorkspaceOnly) {
+  HttpRequest Request = makeRequest();
+  Request.Headers.push_back({"Authorization", "Bearer k-1"});
+  Request.Headers.push_back({"x-tenant-id", "forged"});
+  DirectCall Call = makeCall();
+  Call.Request = readCallerRequest(Request);
+  Call.ReplacesKey = true;
+  HttpCall Written = writeServerCall(Call);
+  EXPECT_EQ(findHeader(Written.Request.Headers, "Authorization"), nullptr);
+  EXPECT_EQ(findHeader(Written.Request.Headers, "X-Tenant-Id"), nullptr);
+  Workspace Owner;
+  Owner.Name = "labs";
+  Call.Workspace = std::make_shared<const Workspace>(Owner);
+  Written = writeServerCall(Call);
+  EXPECT_EQ(*findHeader(Written.Request.Headers, "X-Tenant-Id"), "labs");
+}
+
+// Guards the deployments without workspaces, where the field is the servers'.
+TEST(HttpCodecTest, writeServerCall_keyIsNotOurs_isPassedOn) {
+  HttpRequest Request = makeRequest();
+  Request.Headers.push_back({"Authorization", "Bearer k-1"});
+  DirectCall Call = makeCall();
+  Call.Request = readCallerRequest(Request);
+  EXPECT_EQ(*findHeader(writeServerCall(Call).Request.Headers, "Authorization"),
+            "Bearer k-1");
+}
+
+TEST(HttpCodecTest, writeCallerAnswer_keyAndQuota_haveTheirStatus) {
+  FlowResult Result;
+  for (const RefusalReason Reason :
+       {RefusalReason::KeyMissing, RefusalReason::KeyMalformed,
+        RefusalReason::KeyUnknown}) {
+    Result.Refused = {RefusalOutcome::NotRun, Reason, {}};
+    const HttpResponse Written = writeCallerAnswer(Result);
+    EXPECT_EQ(Written.Status, 401U);
+    EXPECT_NE(findHeader(Written.Headers, "WWW-Authenticate"), nullptr);
+  }
+  Result.Refused = {RefusalOutcome::NotRun, RefusalReason::OverQuota, 250ms};
+  const HttpResponse Written = writeCallerAnswer(Result);
+  EXPECT_EQ(Written.Status, 429U);
+  EXPECT_EQ(*findHeader(Written.Headers, "Retry-After"), "0.250");
+}
+
 } // namespace
 } // namespace mimosacart
--- a/tests/platform/row_codec_test.cpp
+++ b/tests/platform/row_codec_test.cpp
@@ -247,5 +247,67 @@
         << Foreign;
 }
 
+Json makeWorkspaces() {
+  return Json::parse(R"({
+    "columns": ["name", "apiKeys", "priority", "ratePerS", "burst",
+                "allowedRegions"],
+    "rows": [["labs", ["k1", "k2"], 1, 7.5, 3, ["south"]],
+             ["shop", ["k3"], null, null, null, null],
+             ["yard", [], 0, 0, 5, []]]})");
+}
+
+TEST(RowCodecTest, readConfiguration_workspaces_keepEveryField) {
+  Json Configuration = makeConfiguration();
+  Configuration["tenants"] = makeWorkspaces();
+  const RouteConfigurationPtr Read = parseConfiguration(Configuration);
+  ASSERT_TRUE(Read && Read->Workspaces);
+  ASSERT_EQ(Read->Workspaces->size(), 3U);
+  const Workspace &Labs = Read->Workspaces->at(0);
+  EXPECT_EQ(Labs.Name, "labs");
+  EXPECT_EQ(Labs.Keys,
+            (std::vector<KeyDigest>{digestKey("k1"), digestKey("k2")}));
+  EXPECT_EQ(Labs.Priority, 1U);
+  EXPECT_EQ(Labs.Quota, (WorkspaceQuota{7.5, 3}));
+  EXPECT_EQ(Labs.Regions, (std::set<std::string>{"south"}));
+  const Workspace &Shop = Read->Workspaces->at(1);
+  EXPECT_EQ(Shop.Priority, std::nullopt);
+  EXPECT_EQ(Shop.Quota, std::nullopt);
+  EXPECT_EQ(Read->Workspaces->at(2).Quota, std::nullopt);
+  EXPECT_EQ(parseConfiguration(makeConfiguration())->Workspaces, std::nullopt);
+}
+
+// Guards against requests that count to another workspace than their caller's.
+TEST(RowCodecTest, readConfiguration_keyOfTwoWorkspaces_isNotUsable) {
+  Json Configuration = makeConfiguration();
+  Configuration["tenants"] = makeWorkspaces();
+  Configuration["tenants"]["rows"][1][1] = {"k2"};
+  EXPECT_EQ(parseConfiguration(Configuration), nullptr);
+}
+
+TEST(RowCodecTest, readConfiguration_routesAndServices_keepNewColumns) {
+  Json Configuration = makeConfiguration();
+  Json &Routes = Configuration["routes"];
+  Routes["columns"].insert(Routes["columns"].end(),
+                           {"noAuth", "allowedRegions"});
+  Routes["rows"][0].insert(Routes["rows"][0].end(),
+                           {true, Json::array({"south"})});
+  Routes["rows"][1][3] = "download";
+  Configuration["services"]["columns"].push_back("warmupPerS");
+  Configuration["services"]["rows"][0].push_back(7.3);
+  const RouteConfigurationPtr Read = parseConfiguration(Configuration);
+  ASSERT_NE(Read, nullptr);
+  EXPECT_FALSE(Read->Routes[0].NeedsKey);
+  EXPECT_EQ(Read->Routes[0].Regions, (std::set<std::string>{"south"}));
+  EXPECT_TRUE(Read->Routes[1].NeedsKey);
+  EXPECT_TRUE(Read->Routes[1].Idempotent);
+  EXPECT_EQ(Read->Services.at(ServiceName("s1")).ColdRequestsPerSecond, 7.3);
+}
+
+TEST(RowCodecTest, readEvacuation_rowOfDataCentre_namesIt) {
+  EXPECT_EQ(readEvacuation({"evacuate/south-a", 1, false, "{}"}), "south-a");
+  EXPECT_EQ(readEvacuation({"evacuate/south-a", 2, true, ""}), "south-a");
+  EXPECT_EQ(readEvacuation({"config", 1, false, "{}"}), std::nullopt);
+}
+
 } // namespace
 } // namespace mimosacart
