Bound hedges by a share of requests, after a delay learnt for each route

Cause: hedges were bounded by the retry budget alone, started after a fixed multiple of the baseline latency, and left the slower call running. An operator could not say how much extra work they may cost.

Change: direct.hedge_share bounds hedges to a service in each minute. Reload takes the setting over.

--- a/daemon/direct_host_process.cpp
+++ b/daemon/direct_host_process.cpp
@@ -91,6 +91,7 @@
   Result.Fleet.RandomSeed = Incarnation.value();
   Result.Retries = {Host.Direct->RetryShare, Host.Direct->RetrySlack,
                     Host.Direct->RetryWindow, Host.Direct->IsFirstStart};
+  Result.Flow.HedgeShare = Host.Direct->HedgeShare;
   return Result;
 }
 
@@ -444,6 +445,8 @@
   Settings.LogLevel = NewSettings.LogLevel;
   Settings.Direct->DirectoryLifetime = NewSettings.Direct->DirectoryLifetime;
   Settings.Direct->StopGrace = NewSettings.Direct->StopGrace;
+  Settings.Direct->HedgeShare = NewSettings.Direct->HedgeShare;
+  Core.setHedgeShare(Settings.Direct->HedgeShare);
   Log.setLevel(parseLogLevel(Settings.LogLevel));
   Log.info("reloaded", {{"log_level", Settings.LogLevel}});
   Log.flush();
--- a/daemon/direct_metrics.cpp
+++ b/daemon/direct_metrics.cpp
@@ -78,6 +78,12 @@
   Set("probes", Counters.Probes);
   Set("repeats", Counters.Retries);
   Set("hedges", Counters.Hedges);
+  Set("hedges_sent", Counters.HedgesSent);
+  Set("hedges_won", Counters.HedgesWon);
+  for (std::size_t Index = 1; Index < Counters.HedgesRefused.size(); ++Index)
+    Set(std::string("hedges_refused_") +
+            toString(static_cast<HedgeRefusal>(Index)),
+        Counters.HedgesRefused.at(Index));
   Set("held", Counters.Held);
   Set("invalid_wishes", Counters.InvalidWishes);
   Set("open_requests", Core.openRequests());
--- a/direct/direct_node.h
+++ b/direct/direct_node.h
@@ -107,6 +107,8 @@
   }
   /// See FleetGossip::onCrashRecordsRead().
   void onCrashRecordsRead(Instant Now, std::vector<CrashNotice> Recorded);
+  /// See RequestFlow::setHedgeShare().
+  void setHedgeShare(std::optional<double> Share) { Flow.setHedgeShare(Share); }
   /// Begins a planned stop, so that callers use other hosts. All requests are
   /// taken until \p TakeAllUntil, later ones only if they end by \p EndsAt.
   void onStop(Instant Now, Instant TakeAllUntil, Instant EndsAt);
--- a/direct/flow_types.h
+++ b/direct/flow_types.h
@@ -3,8 +3,10 @@
 #pragma once
 
 #include "direct/discovered_server.h"
+#include "direct/hedge_policy.h"
 #include "direct/route_configuration.h"
 
+#include <array>
 #include <functional>
 #include <string>
 #include <utility>
@@ -86,6 +88,12 @@
   std::uint64_t Retries = 0;
   /// Hedges that were started; some find no nominal server and are not sent.
   std::uint64_t Hedges = 0;
+  /// Hedges that were sent, and those of them that answered first.
+  std::uint64_t HedgesSent = 0;
+  std::uint64_t HedgesWon = 0;
+  /// Hedges that were due and not sent, by HedgeRefusal.
+  std::array<std::uint64_t, static_cast<std::size_t>(HedgeRefusal::Count)>
+      HedgesRefused{};
   /// Requests that were held because no server could meet their objective.
   std::uint64_t Held = 0;
   /// Answers in which a server's limit or another wish could not be read.
--- a/direct/request_flow.cpp
+++ b/direct/request_flow.cpp
@@ -35,12 +35,13 @@
     : Policy(Policy), Limits(Limits), Start(Start),
       Callbacks(std::move(Callbacks)), Ranking(std::move(Ranking)),
       Subset(std::move(Subset)), Registry(Registry), ServerLoads(ServerLoads),
-      Crashes(this->Callbacks.CrashSeen),
+      Hedging(Policy.HedgeShare), Crashes(this->Callbacks.CrashSeen),
       Constraints(this->Callbacks.Position) {}
 
 void RequestFlow::start(Instant Now, FlowRequest Request) {
   const RequestId Id = Request.Id;
   findBudget(Request.Service.Name).countRequest(Now);
+  Hedging.countRequest(Now, Request.Service.Name);
   FlowState &Flow = Flows[Id];
   Flow.Request = std::move(Request);
   if (isQuarantined(Flow)) {
@@ -68,90 +69,6 @@
   return Result;
 }
 
-void RequestFlow::sendCall(Instant Now, FlowState &Flow,
-                           const RankedServer &Target) {
-  Flow.ChoosingServer = false;
-  Flow.ChooseAgainAt = Instant::max();
-  const Duration Remaining = Flow.Request.Deadline - Now;
-  if (Remaining < Policy.MinRemaining) {
-    if (Flow.OpenCalls.empty())
-      finishWithFailure(Now, Flow, RefusalReason::DeadlinePassed);
-    else
-      updateTimer(Flow);
-    return;
-  }
-  // Another host may have reported a crash while this request waited.
-  if (isQuarantined(Flow)) {
-    if (Flow.OpenCalls.empty())
-      finishWithFailure(Now, Flow, RefusalReason::Quarantined);
-    else
-      updateTimer(Flow);
-    return;
-  }
-  // A call that never reached a server does not count as an attempt.
-  const bool IsRetry = Flow.Attempts > 0;
-  if (IsRetry) {
-    const double BudgetShare = Flow.OpenCalls.empty() ? Policy.RetryBudgetShare
-                                                      : Policy.HedgeBudgetShare;
-    if (!findBudget(Flow.Request.Service.Name)
-             .trySpend(Now, Callbacks.SharingHosts(), BudgetShare)) {
-      if (Flow.OpenCalls.empty())
-        finishWithFailure(Now, Flow, RefusalReason::Overloaded);
-      else
-        updateTimer(Flow);
-      return;
-    }
-    ++Counters.Retries;
-  }
-  const DiscoveredServer Server = *Target.Server;
-  const ServerLoadState *State = ServerLoads.find(Server.Id);
-  const CallId Id(++LastCall);
-  OpenCall Call{Flow.Request.Id,
-                Server.Id,
-                Server.Address,
-                Flow.Request.Route.Name,
-                Flow.Request.Fingerprint,
-                Flow.Request.Service.HealthPath,
-                Server.Incarnation,
-                Now,
-                std::nullopt};
-  if (Target.HasFreshLoad && Target.IsNominal)
-    Call.BaselineFactor = Target.LatencyFactor;
-  std::string LoadAge = "none";
-  std::string Slowness = "none";
-  if (State && State->Load) {
-    Slowness = std::to_string(State->Load->SlownessPercent);
-    LoadAge = toMsText(Now - State->LoadUpdatedAt);
-  }
-  log("send", Flow,
-      {{"call", std::to_string(Id.value())},
-       {"server", Server.Id.value()},
-       {"address", Server.Address},
-       {"expected_ms", toMsText(Target.ExpectedLatency)},
-       {"slowness", Slowness},
-       {"figures_age_ms", LoadAge},
-       {"candidates", std::to_string(Flow.ProbedServers.size())},
-       {"remaining_ms", toMsText(Remaining)},
-       {"sharing_hosts", std::to_string(Callbacks.SharingHosts())},
-       {"why", !IsRetry                 ? "first"
-               : Flow.OpenCalls.empty() ? "repeat"
-                                        : "hedge"}});
-  Calls[Id] = std::move(Call);
-  if (Flow.OpenCalls.empty())
-    Flow.CallsOpenSince = Now;
-  Flow.OpenCalls.insert(Id);
-  Flow.TriedServers.insert(Server.Id);
-  ++Flow.Attempts;
-  ++Counters.Calls;
-  ServerLoads.recordStart(Server.Id);
-  Constraints.recordSend(Now, Server.Id);
-  scheduleHedge(Now, Flow);
-  updateTimer(Flow);
-  Callbacks.Call({Id, Server, Flow.Request.Request, Remaining,
-                  Remaining + Policy.LateAnswerGrace, Flow.Request.Workspace,
-                  Flow.Request.ReplacesKey});
-}
-
 void RequestFlow::onCallResult(Instant Now, CallId Id,
                                const ServerCallResult &Result) {
   const auto Found = Calls.find(Id);
@@ -241,9 +158,12 @@
                                     : "none"}});
 }
 
-/// Updates the route's baseline, unless the server slowed down during the call.
+/// Updates the route's latencies; its baseline only if the server did not slow
+/// down during the call.
 void RequestFlow::recordLatency(Instant Now, const OpenCall &Call,
                                 const ServerAnswer &Answer) {
+  Hedging.recordLatency(Now, Call.Route, Now - Call.StartedAt,
+                        Call.ExpectedFactor);
   const bool Slowed =
       Answer.Load && Answer.Load->SlownessPercent > NominalSlownessPercent;
   if (Call.BaselineFactor && !Slowed)
@@ -267,10 +187,7 @@
   }
   Flow.MayHaveRun = true;
   if (isSuccess(Status) && Answer.Signed) {
-    for (const CallId Slower : Flow.OpenCalls)
-      if (Flow.Request.Route.Idempotent)
-        ServerLoads.recordFailure(Now, Calls.at(Slower).Server,
-                                  Policy.SlowerCallFailureWeight);
+    onHedgeDecided(Now, Flow, Call);
     finish(Now, Flow, Answer.Reply, Call.Server, {});
     return;
   }
--- a/direct/request_flow.h
+++ b/direct/request_flow.h
@@ -6,6 +6,7 @@
 #include "direct/baseline_latency.h"
 #include "direct/crash_detector.h"
 #include "direct/flow_types.h"
+#include "direct/hedge_policy.h"
 #include "direct/retry_budget.h"
 #include "direct/server_constraints.h"
 #include "direct/server_load_table.h"
@@ -58,6 +59,9 @@
   /// Shares of the retry budget that hedges and retries after failures may use.
   double HedgeBudgetShare = 0.65;
   double RetryBudgetShare = 1.0;
+  /// See HedgePolicy. If it is set, hedges start after a delay learnt for each
+  /// route, and the slower call is cancelled.
+  std::optional<double> HedgeShare;
   /// A request with less time left than this is not sent to a server.
   Duration MinRemaining = std::chrono::milliseconds(20);
   /// A call times out this long after the deadline given to the server, so that
@@ -124,6 +128,8 @@
   /// What servers ask of this host.
   const ServerConstraints &constraints() const { return Constraints; }
   const FlowCounters &counters() const { return Counters; }
+  /// Replaces FlowPolicy::HedgeShare.
+  void setHedgeShare(std::optional<double> Share) { Hedging.setShare(Share); }
   /// State of the retry budgets of all services that had requests.
   std::vector<RetryBudgetState> retryBudgets(Instant Now) const;
 
@@ -175,6 +181,9 @@
     /// was fresh and the server nominal, so that the answer updates the
     /// baseline.
     std::optional<double> BaselineFactor;
+    /// Expected latency as a multiple of the baseline; 1 if not known.
+    double ExpectedFactor = 1;
+    bool IsHedge = false;
   };
   struct OpenProbe {
     ServerName Server;
@@ -221,8 +230,27 @@
   bool meetsObjective(Instant Now, const FlowState &Flow,
                       const RankedServer &Server) const;
   void sendCall(Instant Now, FlowState &Flow, const RankedServer &Target);
-  void scheduleHedge(Instant Now, FlowState &Flow);
+  /// Whether a call to \p Target may start now; takes a retry from the budget
+  /// if it is one. If not, the request is finished unless a call is open.
+  bool admitCall(Instant Now, FlowState &Flow, const RankedServer &Target);
+  bool spendRetry(Instant Now, FlowState &Flow, const RankedServer &Target);
+  OpenCall makeCall(Instant Now, const FlowState &Flow,
+                    const RankedServer &Target) const;
+  void logSend(Instant Now, const FlowState &Flow, CallId Id,
+               const RankedServer &Target) const;
+  /// Sets when the call that has just started is hedged. \p Factor is its
+  /// expected latency as a multiple of the baseline.
+  void scheduleHedge(Instant Now, FlowState &Flow, double Factor);
   void startHedge(Instant Now, FlowState &Flow);
+  /// Returns whether a hedge must not be sent, and records why.
+  bool refuseHedge(Instant Now, const FlowState &Flow,
+                   Duration ExpectedLatency);
+  void recordHedgeRefusal(const FlowState &Flow, HedgeRefusal Refusal);
+  /// Called when \p Winner has answered the request and other calls of it may
+  /// still be open.
+  void onHedgeDecided(Instant Now, FlowState &Flow, const OpenCall &Winner);
+  /// Whether requests to the service wait for a server.
+  bool hasWaiting(const ServiceName &Service) const;
   void onAnswer(Instant Now, FlowState &Flow, const OpenCall &Call,
                 const ServerAnswer &Answer);
   void onCallFailed(Instant Now, FlowState &Flow, const OpenCall &Call,
@@ -266,6 +294,7 @@
   ServerRegistry &Registry;
   ServerLoadTable &ServerLoads;
   BaselineLatency Latencies;
+  HedgePolicy Hedging;
   CrashDetector Crashes;
   ServerConstraints Constraints;
   std::unordered_map<RequestId, FlowState> Flows;
--- a/direct/request_flow_choice.cpp
+++ b/direct/request_flow_choice.cpp
@@ -1,5 +1,5 @@
 /// \file
-/// Server selection of RequestFlow: ranking, probes, holding and hedges.
+/// Server selection of RequestFlow: ranking, probes and holding.
 #include "direct/request_flow.h"
 
 #include <algorithm>
@@ -30,6 +30,7 @@
   }
   if (!Flow.OpenCalls.empty()) {
     // A hedge on a server that is not nominal would only add load.
+    recordHedgeRefusal(Flow, HedgeRefusal::ServersShort);
     Flow.ChoosingServer = false;
     updateTimer(Flow);
     return;
@@ -102,6 +103,7 @@
 void RequestFlow::waitForServer(Instant Now, FlowState &Flow,
                                 Instant NextSendableAt, SendBlock Block) {
   if (!Flow.OpenCalls.empty()) {
+    recordHedgeRefusal(Flow, HedgeRefusal::ServersShort);
     Flow.ChoosingServer = false;
     updateTimer(Flow);
     return;
@@ -216,34 +218,6 @@
   finishWithFailure(Now, Flow, RefusalReason::Overloaded);
 }
 
-void RequestFlow::scheduleHedge(Instant Now, FlowState &Flow) {
-  const HostRoute &Route = Flow.Request.Route;
-  Flow.HedgeAt = Instant::max();
-  if (!Route.Idempotent || Flow.Hedged || Flow.Attempts >= Route.MaxAttempts)
-    return;
-  const Duration Baseline = findBaseline(Flow);
-  const Instant Latest = Flow.Request.Arrived + Route.Objective -
-                         scaled(Baseline, Policy.HedgeHeadroomFactor);
-  const Instant Regular = Now + scaled(Baseline, Policy.HedgeDelayFactor);
-  const Instant Earliest = Now + scaled(Baseline, Policy.MinHedgeDelayFactor);
-  Flow.HedgeAt = std::max(Earliest, std::min(Latest, Regular));
-}
-
-void RequestFlow::startHedge(Instant Now, FlowState &Flow) {
-  Flow.HedgeAt = Instant::max();
-  Flow.Hedged = true;
-  RetryBudget &Budget = findBudget(Flow.Request.Service.Name);
-  if (Budget.remaining(Now, Callbacks.SharingHosts(), Policy.HedgeBudgetShare) <
-      1) {
-    updateTimer(Flow);
-    return;
-  }
-  ++Counters.Hedges;
-  Flow.ProbeRounds = 0;
-  Flow.ProbedServers.clear();
-  chooseServer(Now, Flow);
-}
-
 void RequestFlow::onProbeResult(Instant Now, CallId Id,
                                 const ProbeResult &Result) {
   const auto Found = Probes.find(Id);
--- a/tests/direct/flow_harness.cpp
+++ b/tests/direct/flow_harness.cpp
@@ -89,7 +89,10 @@
   NewRequest.Service = {ServiceName("records"), "/health", 100, {}};
   NewRequest.Request =
       std::make_shared<const CallerRequest>(std::move(Request));
-  NewRequest.Priority = Route.Priority;
+  NewRequest.Workspace = Owner;
+  NewRequest.ReplacesKey = Owner != nullptr;
+  NewRequest.Priority =
+      Owner ? Owner->Priority.value_or(Route.Priority) : Route.Priority;
   NewRequest.Arrived = Now;
   NewRequest.Deadline = Now + Route.Timeout;
   NewRequest.Fingerprint = fingerprintOf(Body);
