--- a/direct/hedge_policy.cpp
+++ b/direct/hedge_policy.cpp
@@ -9,7 +9,7 @@
 namespace {
 
 /// A call is hedged once it lasts longer than this share of the calls of its
-/// route. A request in 33 that takes seven times as long stays outside.
+/// route. Rare requests that take many times as long stay outside.
 constexpr double DelayQuantile = 0.95;
 /// Two samples lie above the quantile.
 constexpr double MinSamples = 40;
