Send the first rows of the routes table in one message

Cause: the broadcast of the rows that a reader reads first was split at 16 KB. A host without rows that got only the part with the configuration served callers without knowing which data centres are evacuated. Change: these rows are sent whole up to 64 KB; above that each host requests or reads them, as with other large rows. Result: onStoreRead_firstRowsOfRoutes_comeInOneMessage passes; with the condition switched off it fails (two messages of one row).

--- a/direct/table_sync.cpp
+++ b/direct/table_sync.cpp
@@ -288,15 +288,20 @@
       Update.Rows.begin(), Update.Rows.end(), [this](const TableRow &Row) {
         return Row.Value.size() > Times.MaxRowBytes;
       });
+  // A host without rows would serve callers with the configuration of the first
+  // part before it knows the evacuations of the later ones.
+  const bool IsFirstOfRoutes =
+      Table == StoreTable::Routes && Update.After == StoreVersion();
+  const std::size_t MaxBytes =
+      IsFirstOfRoutes ? Times.MaxRowBytes : Times.MaxUpdateBytes;
   const bool CannotSplit =
-      Update.Whole && countBytes(Update.Rows) > Times.MaxUpdateBytes;
+      (Update.Whole || IsFirstOfRoutes) && countBytes(Update.Rows) > MaxBytes;
   if (HasLargeRow || CannotSplit) {
     Update.Rows.clear();
     Update.After = Update.UpTo;
     Update.Whole = false;
   }
-  for (const TableRows &Part :
-       splitUpdate(std::move(Update), Times.MaxUpdateBytes))
+  for (const TableRows &Part : splitUpdate(std::move(Update), MaxBytes))
     Callbacks.Broadcast(Part);
 }
 
--- a/tests/direct/table_sync_test.cpp
+++ b/tests/direct/table_sync_test.cpp
@@ -339,6 +339,23 @@
     EXPECT_EQ(TestHost.Rows.at("config").size(), 100'000U) << Name.value();
 }
 
+// Guards against a host that serves callers with the configuration of one part
+// before another part tells it which data centres are evacuated.
+TEST_F(TableSyncTest, onStoreRead_firstRowsOfRoutes_comeInOneMessage) {
+  StoreAnswers = false;
+  advanceTime(6s);
+  Host &Reader = hostOfRank(0);
+  Reader.Routes.apply({{"config", 3, false, std::string(20'000, 'x')},
+                       {"evacuate/north", 4, false, "{}"}},
+                      4);
+  std::set<std::size_t> RowsOfMessages;
+  OnRows = [&](const TableRows &Rows) {
+    RowsOfMessages.insert(Rows.Rows.size());
+  };
+  Reader.Sync->onStoreRead(Now, StoreTable::Routes, true, StoreVersion());
+  EXPECT_EQ(RowsOfMessages, std::set<std::size_t>{2});
+}
+
 TEST_F(TableSyncTest, tick_oneTableBehind_otherTableIsNotRead) {
   advanceTime(6s);
   Host &Follower = hostOfRank(3);
