--- a/tests/platform/http_codec_test.cpp
+++ b/tests/platform/http_codec_test.cpp
@@ -234,6 +234,21 @@
   EXPECT_LT(writeDirectory(Addresses, 1s, 1).Body.size(), 64 * 15 + 40U);
 }
 
+// Guards against a destination that is not recognized as it is escaped, and
+// against a caller whose odd query gets no list.
+TEST(HttpCodecTest, readDirectoryQuery_parameters_areDecoded) {
+  const DirectoryQuery Query = readDirectoryQuery(
+      "/v1/resolve?name=a%2Dx.example&zone=north-a&region=north&other=1&x");
+  EXPECT_EQ(Query.Destination, "a-x.example");
+  EXPECT_EQ(Query.Region, "north");
+  EXPECT_EQ(Query.DataCentre, "north-a");
+  EXPECT_EQ(readDirectoryQuery("/v1/resolve").Destination, "");
+  EXPECT_EQ(readDirectoryQuery("/v1/resolve?").Destination, "");
+  EXPECT_EQ(readDirectoryQuery("/v1/resolve?name=%").Destination, "%");
+  EXPECT_EQ(readDirectoryQuery("/?name=%4").Destination, "%4");
+  EXPECT_EQ(readDirectoryQuery("/?name=%zz%41&&=&name").Destination, "%zzA");
+}
+
 // Guards against a process that ends because another host names an address that
 // is not UTF-8.
 TEST(HttpCodecTest, writeDirectory_addressNotUtf8_othersAreListed) {
