Bound requests to cold servers and keep requests in their regions

Cause: a service can name the requests a second that a cold server takes, and routes and workspaces can name regions; both were parsed only. Change: ColdServers deals out the whole requests of a second to the hosts that may be at work, by the server's order of them. The lower of this and the limit that the server names binds. Servers outside the regions of route and workspace are no candidates, and the directory names hosts in the regions of a destination all of whose routes bind to some. Metrics: cold_servers, evacuated_data_centres. Wishes of RequestFlow move to a file of their own, and the fixture of node tests to a header.

--- a/daemon/direct_host_process.cpp
+++ b/daemon/direct_host_process.cpp
@@ -91,6 +91,9 @@
   Result.Fleet.RandomSeed = Incarnation.value();
   Result.Retries = {Host.Direct->RetryShare, Host.Direct->RetrySlack,
                     Host.Direct->RetryWindow, Host.Direct->IsFirstStart};
+  Result.Regions = Host.Regions;
+  Result.Flow.ColdServers = {Host.Direct->ColdServers.Overrun,
+                             Host.Direct->ColdServers.Slack};
   return Result;
 }
 
@@ -364,7 +367,8 @@
     Exchange.respond({StatusNotFound, {}, ""});
     return;
   }
-  Exchange.respond(writeDirectory(Core.callerAddresses(),
+  const DirectoryQuery Query = readDirectoryQuery(Request.Target);
+  Exchange.respond(writeDirectory(Core.callerAddresses(Query.Destination),
                                   Settings.Direct->DirectoryLifetime,
                                   ++DirectoryRotation));
 }
--- a/daemon/direct_metrics.cpp
+++ b/daemon/direct_metrics.cpp
@@ -86,6 +86,8 @@
   Set("limited_servers", Constraints.limitedServers());
   Set("leaving_servers", Constraints.leavingServers());
   Set("quiet_servers", Constraints.quietServers(Core.latestEvent()));
+  Set("cold_servers", Constraints.coldServers(Core.latestEvent()));
+  Set("evacuated_data_centres", Core.evacuated().size());
   Set("servers", Core.servers());
   Set("hosts", Core.hosts());
   Set("sharing_hosts", Core.sharingHosts());
--- a/direct/direct_node.cpp
+++ b/direct/direct_node.cpp
@@ -123,6 +123,10 @@
       RoutedRequest.Workspace && RoutedRequest.Workspace->Priority;
   RoutedRequest.Priority =
       HasPriority ? *RoutedRequest.Workspace->Priority : Route->Priority;
+  static const std::set<std::string> AnyRegion;
+  RoutedRequest.DataCentres = findDataCentres(
+      Settings.Regions, Route->Regions,
+      RoutedRequest.Workspace ? RoutedRequest.Workspace->Regions : AnyRegion);
   RoutedRequest.Arrived = Now;
   RoutedRequest.Deadline = Now + EffectiveTimeout;
   RoutedRequest.Fingerprint = fingerprintOf(Host, Service, *Request);
@@ -314,6 +318,7 @@
   Configuration = NewConfiguration;
   Routes.emplace(NewConfiguration);
   Workspaces.emplace(NewConfiguration);
+  Flow.onConfiguration(*NewConfiguration);
   Callbacks.Configured(*NewConfiguration);
   if (IsFirst && !Stopping)
     Fleet.join(Now);
@@ -385,9 +390,21 @@
   return std::min({Registry.nextTick(), Fleet.nextTick(), Flow.nextTick()});
 }
 
-std::vector<std::string> DirectNode::callerAddresses() const {
+std::vector<std::string>
+DirectNode::callerAddresses(std::string_view Destination) const {
+  std::vector<MemberRecord> Hosts = Fleet.serving();
+  const DataCentreSet Allowed =
+      Routes ? findDataCentres(Settings.Regions,
+                               Routes->findRegions(Destination), {})
+             : std::nullopt;
+  const auto IsOutside = [&Allowed](const MemberRecord &Host) {
+    return Allowed && !Allowed->contains(Host.DataCentre);
+  };
+  // A host elsewhere can still call the servers in these regions.
+  if (!std::all_of(Hosts.begin(), Hosts.end(), IsOutside))
+    std::erase_if(Hosts, IsOutside);
   std::vector<std::string> Result;
-  for (const MemberRecord &Host : Fleet.serving())
+  for (const MemberRecord &Host : Hosts)
     Result.push_back(Host.CallerAddress);
   std::sort(Result.begin(), Result.end());
   Result.erase(std::unique(Result.begin(), Result.end()), Result.end());
--- a/direct/direct_node.h
+++ b/direct/direct_node.h
@@ -25,6 +25,7 @@
   RetryLimits Retries;
   FlowPolicy Flow;
   RankingPolicy Ranking;
+  RegionMap Regions;
   /// Server entries that disappear within this time after the store is
   /// reachable again may have expired only because of the interruption, so they
   /// are kept for ServerRegistry::RemovalDelay.
@@ -120,8 +121,11 @@
   /// Whether this host can serve callers.
   bool ready() const { return Routes.has_value() && !Stopping; }
   bool stopping() const { return Stopping; }
-  /// Distinct addresses of the hosts that callers should use.
-  std::vector<std::string> callerAddresses() const;
+  /// Distinct addresses of the hosts that callers should use for requests to
+  /// \p Destination. If all its routes bind to regions, these are hosts in such
+  /// regions if there are any.
+  std::vector<std::string>
+  callerAddresses(std::string_view Destination = {}) const;
   /// Version up to which the cached table is complete, from the store or from
   /// peers.
   StoreVersion tableVersion(StoreTable Table) const {
--- a/direct/flow_types.h
+++ b/direct/flow_types.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "direct/discovered_server.h"
+#include "direct/region_rules.h"
 #include "direct/route_configuration.h"
 
 #include <functional>
@@ -31,6 +32,8 @@
   unsigned Priority = 0;
   /// Equal for identical requests of one caller.
   std::uint64_t Fingerprint = 0;
+  /// Data centres whose servers may run the request; not set if all may.
+  DataCentreSet DataCentres = std::nullopt;
 
   bool isMostUrgent() const { return Priority == 0; }
 };
--- a/direct/host_routes.cpp
+++ b/direct/host_routes.cpp
@@ -41,4 +41,17 @@
   return nullptr;
 }
 
+std::set<std::string> HostRoutes::findRegions(std::string_view Host) const {
+  std::set<std::string> Result;
+  const auto Routes = RoutesByHost.find(normalizeHost(Host));
+  if (Routes == RoutesByHost.end())
+    return Result;
+  for (const auto &[Prefix, Route] : Routes->second) {
+    if (Route->Regions.empty())
+      return {};
+    Result.insert(Route->Regions.begin(), Route->Regions.end());
+  }
+  return Result;
+}
+
 } // namespace mimosacart
--- a/direct/host_routes.h
+++ b/direct/host_routes.h
@@ -4,6 +4,8 @@
 
 #include "direct/route_configuration.h"
 
+#include <set>
+#include <string>
 #include <string_view>
 #include <unordered_map>
 
@@ -18,6 +20,9 @@
   /// \p Target; null if there is none. \p Host may contain a port, \p Target a
   /// query.
   const HostRoute *find(std::string_view Host, std::string_view Target) const;
+  /// Returns the regions that routes of \p Host name; empty if there is no
+  /// route or if one of them may be served in any region.
+  std::set<std::string> findRegions(std::string_view Host) const;
 
 private:
   using RoutesByPrefix =
--- a/direct/request_flow.cpp
+++ b/direct/request_flow.cpp
@@ -36,7 +36,7 @@
       Callbacks(std::move(Callbacks)), Ranking(std::move(Ranking)),
       Subset(std::move(Subset)), Registry(Registry), ServerLoads(ServerLoads),
       Crashes(this->Callbacks.CrashSeen),
-      Constraints(this->Callbacks.Position) {}
+      Constraints(this->Callbacks.Position, Policy.ColdServers) {}
 
 void RequestFlow::start(Instant Now, FlowRequest Request) {
   const RequestId Id = Request.Id;
@@ -210,37 +210,6 @@
     recordLatency(Now, Call, Answer);
 }
 
-/// \p Proper is whether the answer would name the server's limit if there were
-/// one; refusals and errors may lack it.
-void RequestFlow::recordWishes(Instant Now, const ServerName &Server,
-                               std::uint64_t Incarnation,
-                               const ServerWishes &Wishes, bool Proper) {
-  if (Wishes.Invalid) {
-    ++Counters.InvalidWishes;
-    Callbacks.Log("server_wish_unusable", {{"server", Server.value()}});
-  }
-  if (Wishes.Leaving && Constraints.setLeaving(Server, Incarnation))
-    Callbacks.Log("server_leaving", {{"server", Server.value()}});
-  // An answer of an earlier incarnation says nothing else about this one.
-  const DiscoveredServer *Known = Registry.find(Server);
-  if (Known == nullptr || Known->Incarnation != Incarnation)
-    return;
-  if (Wishes.QuietFor) {
-    Constraints.setQuiet(Now, Server, *Wishes.QuietFor);
-    Callbacks.Log("server_quiet", {{"server", Server.value()},
-                                   {"for_ms", toMsText(*Wishes.QuietFor)}});
-  }
-  if (!Wishes.RequestsPerSecond && (!Proper || Wishes.Invalid))
-    return;
-  if (!Constraints.setLimit(Now, Server, Wishes.RequestsPerSecond))
-    return;
-  Callbacks.Log("server_limit",
-                {{"server", Server.value()},
-                 {"per_second", Wishes.RequestsPerSecond
-                                    ? std::to_string(*Wishes.RequestsPerSecond)
-                                    : "none"}});
-}
-
 /// Updates the route's baseline, unless the server slowed down during the call.
 void RequestFlow::recordLatency(Instant Now, const OpenCall &Call,
                                 const ServerAnswer &Answer) {
@@ -406,6 +375,8 @@
 
 void RequestFlow::onServerChanged(Instant Now, const DiscoveredServer &Server,
                                   ServerChange Change) {
+  if (Change != ServerChange::Removed && Change != ServerChange::RemovalPending)
+    recordWarmUp(Now, Server, Server.WarmUpLeft, "entry");
   if (Change != ServerChange::Restarted && Change != ServerChange::Removed)
     return;
   Constraints.forget(Server.Id);
--- a/direct/request_flow.h
+++ b/direct/request_flow.h
@@ -71,6 +71,7 @@
   double SlowerCallFailureWeight = 0.3;
   /// A request that has crashed this many servers is not sent again.
   std::size_t MaxCrashes = 3;
+  ColdServerPolicy ColdServers;
 };
 
 /// Forwards requests to discovered servers and reports one result for each,
@@ -113,6 +114,8 @@
   /// Discovery shows a change of the server.
   void onServerChanged(Instant Now, const DiscoveredServer &Server,
                        ServerChange Change);
+  /// A configuration has come into force.
+  void onConfiguration(const RouteConfiguration &Configuration);
   void tick(Instant Now);
   Instant nextTick() const;
 
@@ -233,6 +236,9 @@
   void recordWishes(Instant Now, const ServerName &Server,
                     std::uint64_t Incarnation, const ServerWishes &Wishes,
                     bool Proper);
+  /// The server is cold for \p Left. \p Source names in logs who says so.
+  void recordWarmUp(Instant Now, const DiscoveredServer &Server, Duration Left,
+                    const char *Source);
   void recordLatency(Instant Now, const OpenCall &Call,
                      const ServerAnswer &Answer);
   /// Retries on another server if allowed, else finishes the request. Does
--- a/direct/request_flow_choice.cpp
+++ b/direct/request_flow_choice.cpp
@@ -85,13 +85,20 @@
   for (const DiscoveredServer *Server : Usable) {
     if (Flow.TriedServers.contains(Server->Id))
       continue;
+    const auto &Allowed = Flow.Request.DataCentres;
+    if (Allowed && !Allowed->contains(Server->DataCentre)) {
+      if (Result.Block == SendBlock::None)
+        Result.Block = SendBlock::OutsideRegions;
+      continue;
+    }
     const Instant SendableAt = Constraints.sendableAt(Now, *Server);
     if (SendableAt <= Now) {
       Result.Servers.push_back(Server);
       continue;
     }
     Result.NextSendableAt = std::min(Result.NextSendableAt, SendableAt);
-    if (Result.Block == SendBlock::None)
+    if (Result.Block == SendBlock::None ||
+        Result.Block == SendBlock::OutsideRegions)
       Result.Block = Constraints.findBlock(Now, *Server);
     if (Constraints.needsRefresh(Now, Server->Id) &&
         !Constraints.isQuiet(Now, Server->Id))
--- a/direct/server_constraints.cpp
+++ b/direct/server_constraints.cpp
@@ -143,6 +143,10 @@
     return "quiet";
   case SendBlock::OverLimit:
     return "over_limit";
+  case SendBlock::Cold:
+    return "cold";
+  case SendBlock::OutsideRegions:
+    return "outside_regions";
   }
   return "none";
 }
@@ -155,8 +159,16 @@
     return SendBlock::Leaving;
   if (isQuiet(Now, Server.Id))
     return SendBlock::Quiet;
-  return limitAllowsAt(Now, Server.Id) > Now ? SendBlock::OverLimit
-                                             : SendBlock::None;
+  if (limitAllowsAt(Now, Server.Id) > Now)
+    return SendBlock::OverLimit;
+  return ColdOnes.sendableAt(Now, Server) > Now ? SendBlock::Cold
+                                                : SendBlock::None;
+}
+
+Instant ServerConstraints::allowedAt(Instant Now,
+                                     const DiscoveredServer &Server) {
+  return std::max(limitAllowsAt(Now, Server.Id),
+                  ColdOnes.sendableAt(Now, Server));
 }
 
 Instant ServerConstraints::sendableAt(Instant Now,
@@ -165,9 +177,11 @@
   case SendBlock::Leaving:
     return Instant::max();
   case SendBlock::Quiet:
-    return std::max(QuietUntil.at(Server.Id), limitAllowsAt(Now, Server.Id));
+    return std::max(QuietUntil.at(Server.Id), allowedAt(Now, Server));
   case SendBlock::OverLimit:
-    return limitAllowsAt(Now, Server.Id);
+  case SendBlock::Cold:
+    return allowedAt(Now, Server);
+  case SendBlock::OutsideRegions:
   case SendBlock::None:
     break;
   }
@@ -191,6 +205,7 @@
 }
 
 void ServerConstraints::recordSend(Instant Now, const ServerName &Server) {
+  ColdOnes.recordSend(Now, Server);
   const auto Found = Limits.find(Server);
   if (Found == Limits.end())
     return;
--- a/direct/server_constraints.h
+++ b/direct/server_constraints.h
@@ -4,38 +4,17 @@
 
 #include "core/ids.h"
 #include "core/time.h"
+#include "direct/cold_servers.h"
 #include "direct/discovered_server.h"
+#include "direct/fleet_position.h"
 
 #include <cstddef>
 #include <cstdint>
-#include <functional>
 #include <map>
 #include <optional>
 
 namespace mimosacart {
 
-/// Position of a host among some hosts, in the order in which they get shares
-/// of a server's limit. The order differs from server to server and is equal on
-/// all hosts that know of the same hosts.
-struct HostPosition {
-  std::size_t Rank = 0;
-  std::size_t Hosts = 1;
-
-  friend bool operator==(const HostPosition &, const HostPosition &) = default;
-};
-
-/// Where a host stands among the others.
-struct FleetPosition {
-  /// Among the hosts that can be reached now.
-  HostPosition Reachable;
-  /// Among all hosts that may be at work, reachable or not; nothing as long as
-  /// these are not known.
-  std::optional<HostPosition> Overall;
-
-  friend bool operator==(const FleetPosition &,
-                         const FleetPosition &) = default;
-};
-
 /// Why a server must not be sent a request now.
 enum class SendBlock : std::uint8_t {
   None,
@@ -44,7 +23,11 @@
   /// The server asked this host not to send for a while.
   Quiet,
   /// This host has used its part of the server's limit.
-  OverLimit
+  OverLimit,
+  /// This host has used its part of what the server takes while it is cold.
+  Cold,
+  /// The server is in none of the regions that may run the request.
+  OutsideRegions
 };
 
 /// Returns the name of \p Value in logs.
@@ -63,10 +46,11 @@
 /// that hosts that cannot reach each other do not exceed the limit together.
 class ServerConstraints {
 public:
-  using PositionHook = std::function<FleetPosition(const ServerName &)>;
+  using PositionHook = mimosacart::PositionHook;
 
-  explicit ServerConstraints(PositionHook FindPosition)
-      : FindPosition(std::move(FindPosition)) {}
+  explicit ServerConstraints(PositionHook FindPosition,
+                             ColdServerPolicy Policy = {})
+      : FindPosition(FindPosition), ColdOnes(Policy, std::move(FindPosition)) {}
 
   /// Records the limit that the server names, in requests a second from all
   /// hosts together; nothing if it names none. Returns whether it changed.
@@ -78,6 +62,16 @@
   /// Records that the server wants no requests of this host for \p Length.
   /// Hosts return one after another.
   void setQuiet(Instant Now, const ServerName &Server, Duration Length);
+  /// Sets the requests a second that a cold server of each service takes from
+  /// all hosts together. Cold servers of other services take any number.
+  void setColdLimits(ColdServers::LimitMap Limits) {
+    ColdOnes.setLimits(std::move(Limits));
+  }
+  /// Records that the server is cold for \p Left, see ColdServers.
+  std::optional<double> setWarmUp(Instant Now, const DiscoveredServer &Server,
+                                  Duration Left) {
+    return ColdOnes.setWarmUp(Now, Server, Left);
+  }
   /// Forgets what another incarnation of the server said, except that it
   /// leaves: its entry may come back late.
   void forget(const ServerName &Server);
@@ -99,6 +93,8 @@
   std::size_t leavingServers() const { return LeavingIncarnations.size(); }
   /// Number of servers that want no requests of this host at \p Now.
   std::size_t quietServers(Instant Now) const;
+  /// Number of servers that get few requests at \p Now because they are cold.
+  std::size_t coldServers(Instant Now) const { return ColdOnes.count(Now); }
 
 private:
   struct NamedLimit {
@@ -112,6 +108,9 @@
     Instant EarnedAt{};
   };
 
+  /// When this host's parts of the server's own limit and of that of a cold
+  /// server allow the next request.
+  Instant allowedAt(Instant Now, const DiscoveredServer &Server);
   Instant limitAllowsAt(Instant Now, const ServerName &Server);
   void updateRate(Instant Now, const ServerName &Server, NamedLimit &Limit);
   void earnTokens(Instant Now, const ServerName &Server, NamedLimit &Limit);
@@ -122,6 +121,7 @@
   std::map<ServerName, Instant> QuietUntil;
   /// Last incarnation of each server that has said that it is leaving.
   std::map<ServerName, std::uint64_t> LeavingIncarnations;
+  ColdServers ColdOnes;
 };
 
 } // namespace mimosacart
--- a/tests/direct/flow_harness.cpp
+++ b/tests/direct/flow_harness.cpp
@@ -89,6 +89,7 @@
   NewRequest.Service = {ServiceName("records"), "/health", 100, {}};
   NewRequest.Request =
       std::make_shared<const CallerRequest>(std::move(Request));
+  NewRequest.DataCentres = DataCentres;
   NewRequest.Priority = Route.Priority;
   NewRequest.Arrived = Now;
   NewRequest.Deadline = Now + Route.Timeout;
--- a/tests/direct/flow_harness.h
+++ b/tests/direct/flow_harness.h
@@ -23,6 +23,8 @@
                   unsigned Slowness = 100);
   /// Route of the requests that start() makes; tests may change it before.
   HostRoute Route;
+  /// Data centres that the requests of start() are bound to.
+  DataCentreSet DataCentres;
 
   RequestId start(const std::string &Body = "");
   /// Fingerprint of the requests that start() makes with \p Body.
--- a/tests/direct/workspace_directory_test.cpp
+++ b/tests/direct/workspace_directory_test.cpp
@@ -1,26 +1,11 @@
 /// \file
 /// Whose request it is, by its key, at the directory alone and at a whole node
 /// while configurations change.
-#include "direct/direct_node.h"
-
-#include <gtest/gtest.h>
+#include "tests/direct/direct_node_fixture.h"
 
 namespace mimosacart {
 namespace {
 
-using namespace std::chrono_literals;
-
-CallerKey makeKey(const std::string &Key) { return {digestKey(Key), false}; }
-
-Workspace makeWorkspace(const std::string &Name,
-                        const std::vector<std::string> &Keys) {
-  Workspace Result;
-  Result.Name = Name;
-  for (const std::string &Key : Keys)
-    Result.Keys.push_back(digestKey(Key));
-  return Result;
-}
-
 TEST(WorkspaceDirectoryTest, check_eachKindOfKey_isTold) {
   RouteConfiguration Configuration;
   Configuration.Workspaces = {makeWorkspace("labs", {"k1", "k2"}),
@@ -70,103 +55,6 @@
             RefusalReason::KeyUnknown);
 }
 
-/// A node with one server in each of two data centres. Rows of the routes table
-/// hold a version and the only valid key.
-class DirectNodeWorkspaceTest : public testing::Test {
-protected:
-  DirectNodeWorkspaceTest() {
-    DirectNode::Hooks Callbacks;
-    Callbacks.Call = [this](const DirectCall &Call) { Calls.push_back(Call); };
-    Callbacks.Cancel = [](CallId) {};
-    Callbacks.Probe = [this](const DirectProbe &Probe) {
-      OpenProbes.push_back(Probe.Id);
-    };
-    Callbacks.Reply = [this](const FlowResult &Result) {
-      Results.push_back(Result.Refused.Reason);
-    };
-    Callbacks.Send = [](const std::string &, const PeerMessage &) {};
-    Callbacks.ReadConfiguration = readConfiguration;
-    Callbacks.ReadEvacuation =
-        [](const TableRow &Row) -> std::optional<std::string> {
-      if (Row.Key == "config")
-        return std::nullopt;
-      return Row.Key;
-    };
-    Callbacks.ReadServer = [](const TableRow &Row) {
-      DiscoveredServer Server;
-      Server.Id = ServerName(Row.Key);
-      Server.Service = ServiceName("records");
-      Server.Address = Row.Key;
-      Server.DataCentre = Row.Key;
-      Server.Slots = 100;
-      return Server;
-    };
-    Callbacks.SetReadMode = [](StoreTable, ReadMode) {};
-    Callbacks.ReadTable = [](StoreTable) {};
-    Callbacks.Configured = [](const RouteConfiguration &) {};
-    Callbacks.Log = [this](const char *, const FlowFields &Fields) {
-      for (const auto &[Name, Value] : Fields)
-        Logged += Value + "\n";
-    };
-    Callbacks.Records.Read = [] {};
-    Node.emplace(Now, DirectNodeSettings{}, std::move(Callbacks));
-    Node->onRows(Now, StoreTable::Servers,
-                 {{"north", 1, false, ""}, {"south", 2, false, ""}}, 2);
-  }
-
-  static std::variant<RouteConfigurationPtr, UnusableRow>
-  readConfiguration(const TableRow &Row) {
-    RouteConfiguration Configuration;
-    Configuration.Version = Row.Version.number();
-    HostRoute Route;
-    Route.Name = "r";
-    Route.Host = "a.example";
-    Route.Prefix = "/";
-    Route.Timeout = 2s;
-    Route.Objective = 500ms;
-    Route.Priority = 3;
-    Route.Services = {{ServiceName("records"), 1}};
-    Configuration.Routes.push_back(Route);
-    Configuration.Workspaces = {makeWorkspace("labs", {Row.Value})};
-    Configuration.Workspaces->front().Priority = 0;
-    return std::make_shared<const RouteConfiguration>(Configuration);
-  }
-
-  void configure(std::uint64_t Version, const std::string &Key) {
-    Node->onRows(Now, StoreTable::Routes, {{"config", Version, false, Key}},
-                 Version);
-  }
-
-  void setEvacuated(std::uint64_t Version, const std::string &DataCentre,
-                    bool IsEvacuated) {
-    Node->onRows(Now, StoreTable::Routes,
-                 {{DataCentre, Version, !IsEvacuated, ""}}, Version);
-  }
-
-  void send(const std::string &Key) {
-    CallerRequest Request;
-    Request.Target = "/x";
-    Request.WorkspaceKey = makeKey(Key);
-    Node->onRequest(Now, RequestId(++LastRequest), "a.example",
-                    std::make_shared<const CallerRequest>(Request));
-    for (const CallId Id : std::exchange(OpenProbes, {})) {
-      ProbeResult Idle;
-      Idle.Answered = true;
-      Idle.Healthy = true;
-      Idle.Load = ServerLoad{0, 0, 100, 100};
-      Node->onProbeResult(Now, Id, Idle);
-    }
-  }
-
-  const Instant Now{1h};
-  std::optional<DirectNode> Node;
-  std::vector<DirectCall> Calls;
-  std::vector<CallId> OpenProbes;
-  std::vector<RefusalReason> Results;
-  std::string Logged;
-  std::uint64_t LastRequest = 0;
-};
-
 TEST_F(DirectNodeWorkspaceTest, request_beforeFirstConfiguration_mayComeBack) {
   send("k1");
   ASSERT_EQ(Results.size(), 1U);
