--- a/daemon/direct_host_process.cpp
+++ b/daemon/direct_host_process.cpp
@@ -92,6 +92,9 @@
   Result.Retries = {Host.Direct->RetryShare, Host.Direct->RetrySlack,
                     Host.Direct->RetryWindow, Host.Direct->IsFirstStart};
   Result.Flow.HedgeShare = Host.Direct->HedgeShare;
+  Result.Regions = Host.Regions;
+  Result.Flow.ColdServers = {Host.Direct->ColdServers.Overrun,
+                             Host.Direct->ColdServers.Slack};
   return Result;
 }
 
@@ -365,7 +368,8 @@
     Exchange.respond({StatusNotFound, {}, ""});
     return;
   }
-  Exchange.respond(writeDirectory(Core.callerAddresses(),
+  const DirectoryQuery Query = readDirectoryQuery(Request.Target);
+  Exchange.respond(writeDirectory(Core.callerAddresses(Query.Destination),
                                   Settings.Direct->DirectoryLifetime,
                                   ++DirectoryRotation));
 }
--- a/tests/direct/flow_harness.cpp
+++ b/tests/direct/flow_harness.cpp
@@ -93,6 +93,7 @@
   NewRequest.ReplacesKey = Owner != nullptr;
   NewRequest.Priority =
       Owner ? Owner->Priority.value_or(Route.Priority) : Route.Priority;
+  NewRequest.DataCentres = DataCentres;
   NewRequest.Arrived = Now;
   NewRequest.Deadline = Now + Route.Timeout;
   NewRequest.Fingerprint = fingerprintOf(Body);
--- a/tests/direct/flow_harness.h
+++ b/tests/direct/flow_harness.h
@@ -25,6 +25,8 @@
   HostRoute Route;
   /// Workspace of these requests; null if the deployment has none.
   WorkspacePtr Owner;
+  /// Data centres that the requests of start() are bound to.
+  DataCentreSet DataCentres;
 
   RequestId start(const std::string &Body = "");
   /// Fingerprint of the requests that start() makes with \p Body.
