Check that the caller is present right before each send

On hosts of 0.07 cores the event loop was up to seconds late. Requests were sent up to 4.3 s after their deadline to servers, for callers that had left, since the deadline was compared with the time of the event being handled and the end of the caller's connection was still to be handled.

Before each send (first, retry, hedge) RequestFlow now asks for the current time and whether the caller's connection has ended; HttpSession peeks at the socket without blocking. The server is told the time that is left by the clock. Metrics: sends_to_gone_callers, late_sends.

With the two checks taken out, the five tests of RequestFlowDepartureTest fail; with them they pass. HttpServerLifetimeTest.isGone_... uses a real socket whose end (FIN, reset) no event has told of.

--- a/daemon/direct_host_process.cpp
+++ b/daemon/direct_host_process.cpp
@@ -218,6 +218,10 @@
     Log.info(Event, Fields);
   };
   Result.Records = CrashRecordRows.coreHooks();
+  Result.Clock = [this] { return now(); };
+  Result.IsCallerGone = [this](RequestId Id) {
+    return !Exchanges.contains(Id) || Exchanges.at(Id)->isGone();
+  };
   return Result;
 }
 
--- a/daemon/direct_metrics.cpp
+++ b/daemon/direct_metrics.cpp
@@ -79,6 +79,8 @@
   Set("repeats", Counters.Retries);
   Set("hedges", Counters.Hedges);
   Set("held", Counters.Held);
+  Set("sends_to_gone_callers", Counters.SendsToGoneCallers);
+  Set("late_sends", Counters.LateSends);
   Set("invalid_wishes", Counters.InvalidWishes);
   Set("open_requests", Core.openRequests());
   Set("crash_notices", Core.crashNotices());
--- a/direct/direct_node.cpp
+++ b/direct/direct_node.cpp
@@ -82,6 +82,10 @@
     Fleet.addCrash(At, Evidence.Fingerprint, ServerName(Evidence.Address));
   };
   Result.Log = Callbacks.Log;
+  Result.Clock = [this] { return Callbacks.Clock ? Callbacks.Clock() : Now; };
+  Result.IsCallerGone = [this](RequestId Id) {
+    return Callbacks.IsCallerGone && Callbacks.IsCallerGone(Id);
+  };
   return Result;
 }
 
--- a/direct/direct_node.h
+++ b/direct/direct_node.h
@@ -68,6 +68,10 @@
     std::function<void()> StoreEraChanged;
     FlowLogHook Log;
     CrashRecords::Hooks Records;
+    /// See RequestFlow::Hooks. If not set, the time of the event applies and
+    /// callers are present until onCallerGone().
+    std::function<Instant()> Clock;
+    std::function<bool(RequestId)> IsCallerGone;
   };
 
   DirectNode(Instant Now, DirectNodeSettings Settings, Hooks Callbacks);
--- a/direct/flow_types.h
+++ b/direct/flow_types.h
@@ -88,6 +88,10 @@
   std::uint64_t Hedges = 0;
   /// Requests that were held because no server could meet their objective.
   std::uint64_t Held = 0;
+  /// Sends that did not take place because the caller had left, or because the
+  /// deadline had passed, although no event had told of it.
+  std::uint64_t SendsToGoneCallers = 0;
+  std::uint64_t LateSends = 0;
   /// Answers in which a server's limit or another wish could not be read.
   std::uint64_t InvalidWishes = 0;
 };
--- a/direct/request_flow.cpp
+++ b/direct/request_flow.cpp
@@ -68,26 +68,39 @@
   return Result;
 }
 
+bool RequestFlow::isPastSending(Instant Now, FlowState &Flow) {
+  // Seen on hosts of 0.07 cores: the event loop was late, and requests were
+  // sent up to 4.3 s after their deadline to callers that had left.
+  if (Callbacks.IsCallerGone(Flow.Request.Id)) {
+    ++Counters.SendsToGoneCallers;
+    abandon(Now, Flow.Request.Id);
+    return true;
+  }
+  RefusalReason Reason = RefusalReason::None;
+  if (Flow.Request.Deadline - Now < Policy.MinRemaining) {
+    Reason = RefusalReason::DeadlinePassed;
+    ++Counters.LateSends;
+    // Another host may have reported a crash while this request waited.
+  } else if (isQuarantined(Flow)) {
+    Reason = RefusalReason::Quarantined;
+  }
+  if (Reason == RefusalReason::None)
+    return false;
+  if (Flow.OpenCalls.empty())
+    finishWithFailure(Now, Flow, Reason);
+  else
+    updateTimer(Flow);
+  return true;
+}
+
 void RequestFlow::sendCall(Instant Now, FlowState &Flow,
                            const RankedServer &Target) {
   Flow.ChoosingServer = false;
   Flow.ChooseAgainAt = Instant::max();
-  const Duration Remaining = Flow.Request.Deadline - Now;
-  if (Remaining < Policy.MinRemaining) {
-    if (Flow.OpenCalls.empty())
-      finishWithFailure(Now, Flow, RefusalReason::DeadlinePassed);
-    else
-      updateTimer(Flow);
+  const Instant SendTime = std::max(Now, Callbacks.Clock());
+  if (isPastSending(SendTime, Flow))
     return;
-  }
-  // Another host may have reported a crash while this request waited.
-  if (isQuarantined(Flow)) {
-    if (Flow.OpenCalls.empty())
-      finishWithFailure(Now, Flow, RefusalReason::Quarantined);
-    else
-      updateTimer(Flow);
-    return;
-  }
+  const Duration Remaining = Flow.Request.Deadline - SendTime;
   // A call that never reached a server does not count as an attempt.
   const bool IsRetry = Flow.Attempts > 0;
   if (IsRetry) {
--- a/direct/request_flow.h
+++ b/direct/request_flow.h
@@ -98,6 +98,12 @@
     /// answer.
     CrashDetector::CrashHook CrashSeen;
     FlowLogHook Log;
+    /// The current time, which is later than that of the event being handled if
+    /// the event loop is late.
+    std::function<Instant()> Clock;
+    /// Whether the caller has closed its connection, also if the event of that
+    /// has not been handled yet.
+    std::function<bool(RequestId)> IsCallerGone;
   };
 
   RequestFlow(FlowPolicy Policy, RetryLimits Limits, ServerRanking Ranking,
@@ -221,6 +227,9 @@
   bool meetsObjective(Instant Now, const FlowState &Flow,
                       const RankedServer &Server) const;
   void sendCall(Instant Now, FlowState &Flow, const RankedServer &Target);
+  /// Ends the request if it must not be sent any more, except that its open
+  /// calls go on. Returns whether it must not.
+  bool isPastSending(Instant Now, FlowState &Flow);
   void scheduleHedge(Instant Now, FlowState &Flow);
   void startHedge(Instant Now, FlowState &Flow);
   void onAnswer(Instant Now, FlowState &Flow, const OpenCall &Call,
--- a/net/http_server.h
+++ b/net/http_server.h
@@ -40,6 +40,9 @@
   /// Sets the hook that is called if the client closes the connection before
   /// the response is sent.
   virtual void onGone(std::function<void()> Hook) = 0;
+  /// Whether the client has closed the connection, also before the hook of
+  /// onGone() is called. Does not block.
+  virtual bool isGone() = 0;
 };
 
 /// Accepts connections and passes each request to a handler.
--- a/net/http_session.cpp
+++ b/net/http_session.cpp
@@ -3,6 +3,8 @@
 #include "core/text.h"
 
 #include <algorithm>
+#include <cerrno>
+#include <sys/socket.h>
 
 namespace mimosacart {
 
@@ -189,6 +191,18 @@
   }
 }
 
+bool HttpSession::hasEnded() {
+  char Byte = 0;
+  // Asio's receive would wait for bytes on a socket that it has not set to
+  // non-blocking mode.
+  const ssize_t Peeked = ::recv(Stream.socket().native_handle(), &Byte, 1,
+                                MSG_PEEK | MSG_DONTWAIT);
+  // More bytes are a pipelined request, which is read after the response.
+  if (Peeked >= 0)
+    return Peeked == 0;
+  return errno != EAGAIN && errno != EWOULDBLOCK && errno != EINTR;
+}
+
 void HttpSession::watchForClose() {
   Stream.socket().async_wait(
       tcp::socket::wait_read,
@@ -196,12 +210,7 @@
         const auto Self = Weak.lock();
         if (!Self || Error || !Self->AwaitingResponse)
           return;
-        char Byte = 0;
-        beast::error_code Failure;
-        const std::size_t Peeked = Self->Stream.socket().receive(
-            asio::buffer(&Byte, 1), tcp::socket::message_peek, Failure);
-        // More bytes are a pipelined request, which is read after the response.
-        if (Peeked > 0 && !Failure)
+        if (!Self->hasEnded())
           return;
         Self->AwaitingResponse = false;
         const std::function<void()> Hook = std::move(Self->GoneHook);
--- a/net/http_session.h
+++ b/net/http_session.h
@@ -54,11 +54,15 @@
   void onGone(std::function<void()> Hook) override {
     GoneHook = std::move(Hook);
   }
+  bool isGone() override { return !AwaitingResponse || hasEnded(); }
 
 private:
   void waitForRequest();
   void closeIfIdleAfter(Duration Wait);
   bool hasUnreadBytes() const;
+  /// Whether the client has closed or reset the connection and sent nothing
+  /// before that is still to be read.
+  bool hasEnded();
   void readRequest();
   void readMore();
   void onReclaim();
--- a/tests/direct/flow_harness.cpp
+++ b/tests/direct/flow_harness.cpp
@@ -59,6 +59,8 @@
     ++CrashCounts[Evidence.Fingerprint];
   };
   Result.Log = [](const char *, const FlowFields &) {};
+  Result.Clock = [this] { return Now + Lateness; };
+  Result.IsCallerGone = [this](RequestId Id) { return Gone.contains(Id); };
   return Result;
 }
 
--- a/tests/direct/flow_harness.h
+++ b/tests/direct/flow_harness.h
@@ -6,6 +6,7 @@
 
 #include <functional>
 #include <map>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -57,6 +58,10 @@
   std::vector<DirectProbe> Probes;
   std::vector<CallId> Cancelled;
   std::map<RequestId, FlowResult> Results;
+  /// How far the clock is ahead of Now, as in a late event loop.
+  Duration Lateness{};
+  /// Callers that have closed their connection.
+  std::set<RequestId> Gone;
   /// Crashed servers by the fingerprint of the request.
   std::map<std::uint64_t, std::size_t> CrashCounts;
   ServerRegistry Registry;
--- a/tests/direct/request_flow_retry_test.cpp
+++ b/tests/direct/request_flow_retry_test.cpp
@@ -94,5 +94,64 @@
   EXPECT_EQ(Harness.Calls.back().Remaining, 900ms);
 }
 
+// Guards against requests that reach servers after their callers have left,
+// because the event loop is late.
+class RequestFlowDepartureTest : public RequestFlowRetryTest {
+protected:
+  RequestFlowDepartureTest() { Harness.Route.Timeout = 2s; }
+  /// Calls started after the first one that the test starts.
+  std::size_t laterCalls() const {
+    return Harness.Flow.counters().Calls - FirstCalls;
+  }
+  void startFirst() {
+    Id = Harness.start();
+    FirstCalls = Harness.Flow.counters().Calls;
+    ASSERT_EQ(FirstCalls, 1U);
+  }
+
+  RequestId Id;
+  std::uint64_t FirstCalls = 0;
+};
+
+TEST_F(RequestFlowDepartureTest, sendCall_callerLeftBefore_nothingIsSent) {
+  Harness.Gone.insert(RequestId(1));
+  Harness.start();
+  EXPECT_TRUE(Harness.Calls.empty());
+  EXPECT_EQ(Harness.Flow.openRequests(), 0U);
+  EXPECT_EQ(Harness.Flow.counters().SendsToGoneCallers, 1U);
+}
+
+TEST_F(RequestFlowDepartureTest, sendCall_deadlinePassedByClock_isRefused) {
+  Harness.Lateness = 4300ms;
+  const RequestId Late = Harness.start();
+  EXPECT_TRUE(Harness.Calls.empty());
+  ASSERT_TRUE(Harness.ended(Late));
+  EXPECT_EQ(Harness.result(Late).Refused.Reason, RefusalReason::DeadlinePassed);
+}
+
+TEST_F(RequestFlowDepartureTest, sendCall_loopIsLate_serverGetsTheRest) {
+  Harness.Lateness = 500ms;
+  Harness.start();
+  ASSERT_EQ(Harness.Calls.size(), 1U);
+  EXPECT_EQ(Harness.Calls.front().Remaining, 1500ms);
+}
+
+TEST_F(RequestFlowDepartureTest, sendCall_callerLeftBeforeRetry_isNotSent) {
+  startFirst();
+  Harness.Gone.insert(Id);
+  Harness.failCall(firstServer(), CallEnd::Broken);
+  chooseNext();
+  EXPECT_EQ(laterCalls(), 0U);
+  EXPECT_EQ(Harness.Flow.openRequests(), 0U);
+}
+
+TEST_F(RequestFlowDepartureTest, sendCall_callerLeftBeforeHedge_callsEnd) {
+  startFirst();
+  Harness.Gone.insert(Id);
+  Harness.advanceAnsweringProbes(1s, IdleLoad, Id);
+  EXPECT_EQ(laterCalls(), 0U);
+  EXPECT_EQ(Harness.Cancelled.size(), 1U);
+}
+
 } // namespace
 } // namespace mimosacart
--- a/tests/net/http_server_test.cpp
+++ b/tests/net/http_server_test.cpp
@@ -5,6 +5,7 @@
 
 #include "daemon/caller_protocol.h"
 #include "net/asio.h"
+#include "tests/support/loopback_addresses.h"
 
 #include <boost/asio/read.hpp>
 #include <boost/asio/read_until.hpp>
@@ -392,6 +393,38 @@
   EXPECT_EQ(Calls, 0U);
 }
 
+// Guards against a request that is sent to a server although its caller left
+// while the event loop was busy: no event has told of it yet.
+TEST(HttpServerLifetimeTest, isGone_eventNotHandledYet_followsTheSocket) {
+  asio::io_context Context;
+  std::shared_ptr<HttpExchange> Open;
+  HttpServer Server(
+      Context, HttpServerLimits{},
+      [&Open](const HttpRequest &,
+              const std::shared_ptr<HttpExchange> &Exchange) {
+        Open = Exchange;
+      },
+      toRefusal);
+  const std::string Address = newLoopbackAddress();
+  ASSERT_TRUE(Server.listen(Address).has_value());
+  for (const bool Resets : {false, true}) {
+    tcp::socket Caller(Context);
+    Caller.connect(*parseEndpoint(Address));
+    asio::write(Caller, asio::buffer(std::string_view(
+                            "GET / HTTP/1.1\r\nHost: a\r\n\r\n")));
+    Context.restart();
+    Context.run_for(50ms);
+    ASSERT_TRUE(Open);
+    EXPECT_FALSE(Open->isGone());
+    Caller.set_option(asio::socket_base::linger(Resets, 0));
+    Caller.close();
+    // Time for the system to pass the end on; the event loop does not run.
+    std::this_thread::sleep_for(20ms);
+    EXPECT_TRUE(Open->isGone()) << Resets;
+    Open.reset();
+  }
+}
+
 // Guards against a caller that leaves after the server has ended: the hook for
 // it may refer to what ended with the server.
 TEST(HttpServerLifetimeTest, destructor_requestInProgress_callsNoHook) {
