Let hosts with few requests use fewer servers

A host with three requests a second spread them over 12 servers of a service, and the third round of probes over all, so connections were seldom used again.

Until a request is held, such a host probes only these servers.

--- a/direct/request_flow.cpp
+++ b/direct/request_flow.cpp
@@ -41,6 +41,7 @@
 void RequestFlow::start(Instant Now, FlowRequest Request) {
   const RequestId Id = Request.Id;
   findBudget(Request.Service.Name).countRequest(Now);
+  Subset.countRequest(Now, Request.Service.Name);
   FlowState &Flow = Flows[Id];
   Flow.Request = std::move(Request);
   if (isQuarantined(Flow)) {
--- a/direct/request_flow_choice.cpp
+++ b/direct/request_flow_choice.cpp
@@ -64,16 +64,21 @@
 }
 
 /// Returns the servers that the request has not been sent to. In the first
-/// probe rounds these are the ones in this host's subset; in later rounds, or
-/// if the subset has none left, all usable ones.
+/// probe rounds, or until it is held if this host has few requests, these are
+/// the ones that this host reuses; later, or if none are left, all usable ones.
 RequestFlow::Candidates RequestFlow::findCandidates(Instant Now,
                                                     const FlowState &Flow) {
   const ServiceName &Service = Flow.Request.Service.Name;
   Candidates Result;
-  if (Flow.ProbeRounds < Policy.PreferredProbeRounds)
-    addSendable(Now, Flow,
-                Subset.preferred(Registry, Service, Callbacks.HostCount()),
-                Result);
+  const std::size_t Hosts = Callbacks.HostCount();
+  const auto &Reused = Subset.reused(Now, Registry, Service, Hosts);
+  // The third round of probes comes often on a small host, whose probes take
+  // longer than a round.
+  const bool IsReduced =
+      Reused.size() < Subset.preferred(Registry, Service, Hosts).size();
+  if (Flow.ProbeRounds < Policy.PreferredProbeRounds ||
+      (IsReduced && !Flow.WasHeld))
+    addSendable(Now, Flow, Reused, Result);
   if (Result.Servers.empty())
     addSendable(Now, Flow, Registry.usable(Service), Result);
   return Result;
