--- a/direct/request_flow.cpp
+++ b/direct/request_flow.cpp
@@ -42,6 +42,7 @@
   const RequestId Id = Request.Id;
   findBudget(Request.Service.Name).countRequest(Now);
   Hedging.countRequest(Now, Request.Service.Name);
+  Subset.countRequest(Now, Request.Service.Name);
   FlowState &Flow = Flows[Id];
   Flow.Request = std::move(Request);
   if (isQuarantined(Flow)) {
--- a/direct/request_flow.h
+++ b/direct/request_flow.h
@@ -103,6 +103,12 @@
     /// answer.
     CrashDetector::CrashHook CrashSeen;
     FlowLogHook Log;
+    /// The current time, which is later than that of the event being handled if
+    /// the event loop is late.
+    std::function<Instant()> Clock;
+    /// Whether the caller has closed its connection, also if the event of that
+    /// has not been handled yet.
+    std::function<bool(RequestId)> IsCallerGone;
   };
 
   RequestFlow(FlowPolicy Policy, RetryLimits Limits, ServerRanking Ranking,
@@ -233,6 +239,8 @@
   bool meetsObjective(Instant Now, const FlowState &Flow,
                       const RankedServer &Server) const;
   void sendCall(Instant Now, FlowState &Flow, const RankedServer &Target);
+  /// Drops the request if its caller has left. Returns whether it has.
+  bool dropIfCallerGone(Instant Now, const FlowState &Flow);
   /// Whether a call to \p Target may start now; takes a retry from the budget
   /// if it is one. If not, the request is finished unless a call is open.
   bool admitCall(Instant Now, FlowState &Flow, const RankedServer &Target);
--- a/direct/request_flow_send.cpp
+++ b/direct/request_flow_send.cpp
@@ -2,15 +2,20 @@
 /// Calls of RequestFlow to servers: what may be sent, and the sending.
 #include "direct/request_flow.h"
 
+#include <algorithm>
+
 namespace mimosacart {
 
 void RequestFlow::sendCall(Instant Now, FlowState &Flow,
                            const RankedServer &Target) {
   Flow.ChoosingServer = false;
   Flow.ChooseAgainAt = Instant::max();
-  if (!admitCall(Now, Flow, Target))
+  // On a host with little processor time the event loop may be late, so that
+  // requests would be sent to servers after their deadline.
+  const Instant SendTime = std::max(Now, Callbacks.Clock());
+  if (dropIfCallerGone(SendTime, Flow) || !admitCall(SendTime, Flow, Target))
     return;
-  const Duration Remaining = Flow.Request.Deadline - Now;
+  const Duration Remaining = Flow.Request.Deadline - SendTime;
   const DiscoveredServer Server = *Target.Server;
   const CallId Id(++LastCall);
   logSend(Now, Flow, Id, Target);
@@ -31,17 +36,27 @@
                   Flow.Request.ReplacesKey});
 }
 
+bool RequestFlow::dropIfCallerGone(Instant Now, const FlowState &Flow) {
+  if (!Callbacks.IsCallerGone(Flow.Request.Id))
+    return false;
+  ++Counters.SendsToGoneCallers;
+  abandon(Now, Flow.Request.Id);
+  return true;
+}
+
 bool RequestFlow::admitCall(Instant Now, FlowState &Flow,
                             const RankedServer &Target) {
   RefusalReason Reason = RefusalReason::None;
-  if (Flow.Request.Deadline - Now < Policy.MinRemaining)
+  if (Flow.Request.Deadline - Now < Policy.MinRemaining) {
     Reason = RefusalReason::DeadlinePassed;
-  // Another host may have reported a crash while this request waited.
-  else if (isQuarantined(Flow))
+    ++Counters.LateSends;
+    // Another host may have reported a crash while this request waited.
+  } else if (isQuarantined(Flow)) {
     Reason = RefusalReason::Quarantined;
-  // A call that never reached a server does not count as an attempt.
-  else if (Flow.Attempts > 0 && !spendRetry(Now, Flow, Target))
+    // A call that never reached a server does not count as an attempt.
+  } else if (Flow.Attempts > 0 && !spendRetry(Now, Flow, Target)) {
     Reason = RefusalReason::Overloaded;
+  }
   if (Reason == RefusalReason::None)
     return true;
   if (Flow.OpenCalls.empty())
