Add the messages that lend and borrow quota tokens

Hosts need to ask a lender for tokens of a workspace and to hand its bucket over. Adds QuotaRequest and QuotaGrant to the peer protocol. Counts and durations of hostile messages are bounded, empty names are rejected.

--- a/core/node.h
+++ b/core/node.h
@@ -235,6 +235,8 @@
   /// Tables are exchanged only between hosts that replicate the store, which do
   /// not use this class.
   void handle(const HostName &, const TableRequest &) {}
+  void handle(const HostName &, const QuotaRequest &) {}
+  void handle(const HostName &, const QuotaGrant &) {}
   void handle(const HostName &, const TableRows &) {}
   void handle(const HostName &, const ViewSummary &) {}
 
--- a/core/peer_messages.cpp
+++ b/core/peer_messages.cpp
@@ -44,7 +44,9 @@
                "attempt_answer_ack",
                "table_request",
                "table_rows",
-               "view_summary"};
+               "view_summary",
+               "quota_request",
+               "quota_grant"};
   return Names[Body.index()];
 }
 
--- a/core/peer_messages.h
+++ b/core/peer_messages.h
@@ -316,13 +316,67 @@
   std::vector<std::string> ForwardTo;
 };
 
+/// Tokens of one workspace that the sender wants to borrow or returns.
+struct QuotaAsk {
+  std::string Workspace;
+  std::uint32_t Wanted = 0;
+  std::uint32_t Returned = 0;
+
+  friend bool operator==(const QuotaAsk &, const QuotaAsk &) = default;
+};
+
+/// Asks the receiver to lend tokens. Without any Asks it asks only whether the
+/// receiver counts the sender among the hosts that serve callers.
+struct QuotaRequest {
+  /// Matches the QuotaGrant to this request.
+  std::uint64_t Number = 0;
+  std::vector<QuotaAsk> Asks;
+};
+
+/// Answer to a QuotaAsk.
+struct QuotaLease {
+  std::string Workspace;
+  /// Whether the sender lends for the workspace now.
+  bool Lends = false;
+  std::uint32_t Tokens = 0;
+  /// Validity of the tokens, from the sending of the request on.
+  Duration Lifetime{};
+  /// Time until more tokens are expected; zero if all wanted were lent.
+  Duration Wait{};
+
+  friend bool operator==(const QuotaLease &, const QuotaLease &) = default;
+};
+
+/// State of the bucket of a workspace for which the receiver lends from now on.
+struct QuotaHandover {
+  std::string Workspace;
+  std::uint32_t Tokens = 0;
+  /// Tokens in leases of the sender that are still valid.
+  std::uint32_t Lent = 0;
+  /// Tokens earned in 1,000 s.
+  std::uint32_t MilliRate = 0;
+
+  friend bool operator==(const QuotaHandover &,
+                         const QuotaHandover &) = default;
+};
+
+/// Answers the QuotaRequest with the same number, or hands over buckets.
+struct QuotaGrant {
+  std::uint64_t Number = 0;
+  /// Whether the sender counts the receiver among the hosts that serve callers,
+  /// so that it does not lend in its place.
+  bool Confirms = false;
+  std::vector<QuotaLease> Leases;
+  std::vector<QuotaHandover> Handovers;
+};
+
 using PeerBody =
     std::variant<Ping, Ack, PingRequest, SoftState, LoadReport,
                  ForwardedAttempt, AttemptAnswer, CancelForwarded, WorkRequest,
                  ClaimCall, ClaimAnswer, Handover, HandoverAck,
                  ConfigurationRequest, ConfigurationBytes, CrashReport,
                  CrashReportAck, AttemptAnswerAck, TableRequest, TableRows,
-                 ViewSummary>;
+                 ViewSummary, QuotaRequest, QuotaGrant>;
 
 /// One message with its sender.
 struct PeerMessage {
--- a/tests/wire/peer_codec_test.cpp
+++ b/tests/wire/peer_codec_test.cpp
@@ -88,6 +88,9 @@
                 false,
                 {"10.0.0.1:7000", "10.0.0.2:7000"}},
       ViewSummary{{1, 2, 3}},
+      QuotaRequest{4, {{"shop", 5, 6}}},
+      QuotaGrant{
+          4, true, {{"shop", true, 5, 300ms, 20ms}}, {{"labs", 7, 8, 9}}},
   };
 }
 
@@ -169,6 +172,21 @@
   EXPECT_EQ(std::get<SoftState>(Decoded.value().Body).Members.front().Age, 0s);
 }
 
+// Guards against a peer whose counts overflow sums or whose leases never end.
+TEST(PeerCodecTest, decode_hostileQuotaMessages_areBounded) {
+  EXPECT_TRUE(decode(encode(wrap(QuotaRequest{1, {{"", 1, 0}}}))).has_error());
+  const auto Request =
+      decode(encode(wrap(QuotaRequest{1, {{"a", UINT32_MAX, UINT32_MAX}}})));
+  ASSERT_TRUE(Request.has_value());
+  EXPECT_EQ(std::get<QuotaRequest>(Request.value().Body).Asks.front(),
+            (QuotaAsk{"a", 1'000'000, 1'000'000}));
+  const auto Grant = decode(encode(wrap(QuotaGrant{
+      1, true, {{"a", true, UINT32_MAX, Duration::max(), -1s}}, {}})));
+  ASSERT_TRUE(Grant.has_value());
+  EXPECT_EQ(std::get<QuotaGrant>(Grant.value().Body).Leases.front(),
+            (QuotaLease{"a", true, 1'000'000, 10s, 0s}));
+}
+
 TEST(PeerCodecTest, decode_otherProtocol_isRejected) {
   EXPECT_TRUE(decode("").has_error());
   EXPECT_TRUE(decode("GET / HTTP/1.1\r\n\r\n").has_error());
--- a/wire/peer_codec.cpp
+++ b/wire/peer_codec.cpp
@@ -2,6 +2,7 @@
 
 #include "wire/field_checks.h"
 #include "wire/generated/peer.pb.h"
+#include "wire/quota_codec.h"
 #include "wire/table_codec.h"
 #include "wire/view_codec.h"
 
@@ -314,6 +315,10 @@
     return required(readTableRows(From.table_rows()));
   case wire::Envelope::kViewSummary:
     return readViewSummary(From.view_summary());
+  case wire::Envelope::kQuotaRequest:
+    return readQuotaRequest(From.quota_request());
+  case wire::Envelope::kQuotaGrant:
+    return readQuotaGrant(From.quota_grant());
   case wire::Envelope::BODY_NOT_SET:
     break;
   }
