Keep workspaces' quotas fleet-wide with a lender, leases and a reserve

Quotas of workspaces were read and not enforced. Partitions, deaths, freezes and restarts keep the bound of quota_window; planned changes hand the bucket over.

--- a/daemon/direct_host_process.cpp
+++ b/daemon/direct_host_process.cpp
@@ -91,6 +91,8 @@
   Result.Fleet.RandomSeed = Incarnation.value();
   Result.Retries = {Host.Direct->RetryShare, Host.Direct->RetrySlack,
                     Host.Direct->RetryWindow, Host.Direct->IsFirstStart};
+  const QuotaBounds &Quotas = Host.Direct->Quotas;
+  Result.Quotas = {Quotas.Window, Quotas.Overrun, Quotas.Slack};
   return Result;
 }
 
--- a/daemon/direct_metrics.cpp
+++ b/daemon/direct_metrics.cpp
@@ -65,7 +65,7 @@
       .Observe(toSeconds(Result.Added));
 }
 
-std::string DirectMetrics::render(const DirectNode &Core,
+std::string DirectMetrics::render(DirectNode &Core,
                                   const PeerTransportCounters &Transport,
                                   const StoreCallsByCause &StoreCalls,
                                   const MessageMemory &Memory,
@@ -96,6 +96,14 @@
     RetryBudgetGauge.Add({{"service", Service}, {"part", "allowed"}})
         .Set(Budget.Allowed);
   }
+  const QuotaCounters Quotas = Core.quotaCounters();
+  Set("quota_admitted", Quotas.Admitted);
+  Set("quota_refused", Quotas.Refused);
+  Set("quota_from_reserve", Quotas.FromReserve);
+  Set("quota_waiting", Quotas.Waiting);
+  Set("quota_leases", Quotas.Leases);
+  Set("quota_lent", Quotas.Lent);
+  Set("quota_lending", Quotas.Lending);
   Set("ready", Core.ready() ? 1 : 0);
   Set("configuration_version", Core.configurationVersion());
   Set("routes_table_version", Core.tableVersion(StoreTable::Routes).number());
--- a/daemon/direct_metrics.h
+++ b/daemon/direct_metrics.h
@@ -30,8 +30,7 @@
   void countReply(const FlowResult &Result);
   /// Returns all metrics in the Prometheus text format, with the current state
   /// of \p Core.
-  std::string render(const DirectNode &Core,
-                     const PeerTransportCounters &Transport,
+  std::string render(DirectNode &Core, const PeerTransportCounters &Transport,
                      const StoreCallsByCause &StoreCalls,
                      const MessageMemory &Memory,
                      std::size_t CallerConnections);
--- a/direct/direct_node.cpp
+++ b/direct/direct_node.cpp
@@ -12,6 +12,9 @@
 /// Retry delay sent to callers while this host has no configuration.
 constexpr Duration NotReadyRetryAfter = std::chrono::milliseconds(300);
 
+/// Shortest time between two checks whether the hosts have changed.
+constexpr Duration QuotaFleetInterval = std::chrono::milliseconds(100);
+
 /// Requests that are alike count as others if another service of a split gets
 /// them: what one serves may crash the other.
 std::uint64_t fingerprintOf(const std::string &Host, const ServiceName &Service,
@@ -50,7 +53,9 @@
                          Settings.Fleet.RandomSeed),
            ServerSubset(SubsetPolicy{}, Settings.Fleet.Self.Host.value(),
                         Settings.Fleet.Self.DataCentre),
-           Registry, ServerLoads, StartTime, flowHooks()) {}
+           Registry, ServerLoads, StartTime, flowHooks()),
+      Quotas(StartTime, Settings.Quotas, Settings.Fleet.Self.PeerAddress,
+             Settings.Fleet.RandomSeed, quotaHooks()) {}
 
 RequestFlow::Hooks DirectNode::flowHooks() {
   RequestFlow::Hooks Result;
@@ -138,16 +143,16 @@
        {"allowed_ms", std::to_string(wholeMilliseconds(EffectiveTimeout))},
        {"fingerprint", std::to_string(RoutedRequest.Fingerprint)},
        {"crashes", std::to_string(Fleet.crashes(RoutedRequest.Fingerprint))}});
-  Flow.start(Now, std::move(RoutedRequest));
+  startWithinQuota(std::move(RoutedRequest));
 }
 
 void DirectNode::refuse(Instant /*Now*/, RequestId Id,
-                        const CallerRequest &Request, RefusalReason Reason) {
+                        const CallerRequest &Request, RefusalReason Reason,
+                        Duration RetryAfter) {
   // The others are refused again however long the caller waits.
-  const bool MayComeBack = Reason == RefusalReason::NoConfiguration ||
-                           Reason == RefusalReason::Stopping;
-  const Duration RetryAfter =
-      MayComeBack ? NotReadyRetryAfter : Duration::zero();
+  if (Reason == RefusalReason::NoConfiguration ||
+      Reason == RefusalReason::Stopping)
+    RetryAfter = NotReadyRetryAfter;
   Callbacks.Log("reply",
                 {{"request", Request.TraceId},
                  {"outcome", toString(RefusalOutcome::NotRun)},
@@ -161,7 +166,13 @@
 
 void DirectNode::onCallerGone(Instant At, RequestId Id) {
   Now = At;
-  Flow.abandon(Now, Id);
+  const auto Found = QuotaWaiting.find(Id);
+  if (Found == QuotaWaiting.end()) {
+    Flow.abandon(Now, Id);
+    return;
+  }
+  Quotas.abandon(Id, Found->second.Workspace->Name);
+  QuotaWaiting.erase(Found);
 }
 
 void DirectNode::onCallResult(Instant At, CallId Id,
@@ -179,6 +190,16 @@
 void DirectNode::onPeerMessage(Instant At, const PeerMessage &Message) {
   Now = At;
   Fleet.onMessage(Now, Message);
+  if (const auto *Request = std::get_if<QuotaRequest>(&Message.Body)) {
+    if (const auto From = Fleet.addressOf(Message.From); !From.empty())
+      Quotas.onRequest(Now, From, *Request);
+    return;
+  }
+  if (const auto *Grant = std::get_if<QuotaGrant>(&Message.Body)) {
+    if (const auto From = Fleet.addressOf(Message.From); !From.empty())
+      Quotas.onGrant(Now, From, *Grant);
+    return;
+  }
   const StoreVersion Known =
       std::max(RouteRows.knownVersion(), ServerRows.knownVersion());
   if (Known != StoreVersion())
@@ -265,6 +286,7 @@
   TakeAllUntil = NewTakeAllUntil;
   EndsAt = NewEndsAt;
   Fleet.leave(Now);
+  updateQuotaFleet();
 }
 
 void DirectNode::onRouteRow(const TableRow &Row) {
@@ -314,6 +336,7 @@
   Configuration = NewConfiguration;
   Routes.emplace(NewConfiguration);
   Workspaces.emplace(NewConfiguration);
+  Quotas.setQuotas(Now, *NewConfiguration);
   Callbacks.Configured(*NewConfiguration);
   if (IsFirst && !Stopping)
     Fleet.join(Now);
@@ -379,10 +402,16 @@
   Registry.tick(Now);
   Fleet.tick(Now);
   Flow.tick(Now);
+  if (Now >= NextQuotaFleetAt) {
+    NextQuotaFleetAt = Now + QuotaFleetInterval;
+    updateQuotaFleet();
+  }
+  Quotas.tick(Now);
 }
 
 Instant DirectNode::nextTick() const {
-  return std::min({Registry.nextTick(), Fleet.nextTick(), Flow.nextTick()});
+  return std::min({Registry.nextTick(), Fleet.nextTick(), Flow.nextTick(),
+                   Quotas.nextTick()});
 }
 
 std::vector<std::string> DirectNode::callerAddresses() const {
--- a/direct/direct_node.h
+++ b/direct/direct_node.h
@@ -5,6 +5,7 @@
 #pragma once
 
 #include "direct/fleet_gossip.h"
+#include "direct/fleet_quotas.h"
 #include "direct/host_routes.h"
 #include "direct/request_flow.h"
 #include "direct/table_cache.h"
@@ -12,6 +13,7 @@
 #include "direct/workspace_directory.h"
 
 #include <functional>
+#include <map>
 #include <optional>
 #include <string>
 #include <variant>
@@ -25,6 +27,7 @@
   RetryLimits Retries;
   FlowPolicy Flow;
   RankingPolicy Ranking;
+  QuotaLimits Quotas;
   /// Server entries that disappear within this time after the store is
   /// reachable again may have expired only because of the interruption, so they
   /// are kept for ServerRegistry::RemovalDelay.
@@ -152,7 +155,10 @@
   std::vector<RetryBudgetState> retryBudgets() const {
     return Flow.retryBudgets(Now);
   }
-  std::size_t openRequests() const { return Flow.openRequests(); }
+  std::size_t openRequests() const {
+    return Flow.openRequests() + QuotaWaiting.size();
+  }
+  QuotaCounters quotaCounters() { return Quotas.counters(Now); }
   /// What servers ask of this host.
   const ServerConstraints &constraints() const { return Flow.constraints(); }
   /// Time of the latest event.
@@ -175,7 +181,14 @@
   void onServerRow(const TableRow &Row);
   void onServerChanged(const DiscoveredServer &Server, ServerChange Change);
   void refuse(Instant Now, RequestId Id, const CallerRequest &Request,
-              RefusalReason Reason);
+              RefusalReason Reason, Duration RetryAfter = Duration::zero());
+  FleetQuotas::Hooks quotaHooks();
+  /// Starts a request if its workspace's quota allows it, or makes it wait.
+  void startWithinQuota(FlowRequest Request);
+  /// Starts or refuses a request that waited for its quota.
+  void endQuotaWait(RequestId Id, RefusalReason Reason, Duration RetryAfter);
+  /// Passes a changed list of hosts on to Quotas.
+  void updateQuotaFleet();
   /// Handles the era of a row, or of the cached rows, that is not 0.
   void noteStoreEra(std::uint64_t Era);
   /// Whether the entry of a server names an earlier start of it than the known
@@ -211,6 +224,14 @@
   TableCache ServerRows;
   FleetGossip Fleet;
   RequestFlow Flow;
+  FleetQuotas Quotas;
+  /// Requests that wait for their quota.
+  std::map<RequestId, FlowRequest> QuotaWaiting;
+  /// FleetGossip::changes() and sharingHosts() that Quotas knows of, and when
+  /// it is told next.
+  std::uint64_t QuotaFleetChanges = 0;
+  std::size_t QuotaSharingHosts = 0;
+  Instant NextQuotaFleetAt{};
 };
 
 } // namespace mimosacart
--- a/direct/fleet_gossip.cpp
+++ b/direct/fleet_gossip.cpp
@@ -143,7 +143,18 @@
   Sync.setMembers(FleetMembers);
 }
 
+std::string FleetGossip::addressOf(const HostName &Host) const {
+  const MemberRecord *Found = Members.find(Host);
+  return Found == nullptr ? std::string() : Found->PeerAddress;
+}
+
+void FleetGossip::send(Instant At, const std::string &Address, PeerBody Body) {
+  Now = At;
+  send(Address, std::move(Body));
+}
+
 void FleetGossip::updateSize() {
+  ++Changes;
   Size.onMembers(Now, Members.recordsForPeers(Now));
   Size.expire(Now);
   NextSizeUpdate = Now + SizeUpdateInterval;
@@ -162,6 +173,7 @@
        {"life", std::to_string(Record.Incarnation.value())},
        {"source", Source == UpdateSource::ObservedLocally ? "seen" : "told"}});
   MembersChanged = true;
+  ++Changes;
   if (Source == UpdateSource::ObservedLocally)
     MemberUpdates[Record.Host] = Record;
 }
@@ -205,12 +217,14 @@
 void FleetGossip::join(Instant At) {
   Now = At;
   Members.join();
+  ++Changes;
   sendMemberUpdates();
 }
 
 void FleetGossip::leave(Instant At) {
   Now = At;
   Members.leave();
+  ++Changes;
   sendMemberUpdates();
 }
 
--- a/direct/fleet_gossip.h
+++ b/direct/fleet_gossip.h
@@ -74,6 +74,13 @@
   /// unreachable ones included; 0 if not known. See FleetSize::hosts().
   std::size_t sharingHosts() const { return Size.hosts(Now); }
 
+  /// Increases whenever serving(), hosts() or sharingHosts() may have changed.
+  std::uint64_t changes() const { return Changes; }
+  /// Peer address of a host; empty if the host is not known.
+  std::string addressOf(const HostName &Host) const;
+  /// Sends a message of another module.
+  void send(Instant Now, const std::string &Address, PeerBody Body);
+
   /// This host's position among the others in an order that depends on \p Key.
   FleetPosition position(const std::string &Key) const;
 
@@ -187,6 +194,7 @@
   std::map<std::uint64_t, Instant> UntoldExcuses;
   /// Changes of members that this host observed and has not sent yet.
   std::map<HostName, MemberRecord> MemberUpdates;
+  std::uint64_t Changes = 0;
   /// Whether the members changed since the last refreshMembers().
   bool MembersChanged = true;
   /// No summary of this host's view is sent before this time.
