--- a/daemon/direct_host_process.cpp
+++ b/daemon/direct_host_process.cpp
@@ -95,6 +95,8 @@
   Result.Regions = Host.Regions;
   Result.Flow.ColdServers = {Host.Direct->ColdServers.Overrun,
                              Host.Direct->ColdServers.Slack};
+  const QuotaBounds &Quotas = Host.Direct->Quotas;
+  Result.Quotas = {Quotas.Window, Quotas.Overrun, Quotas.Slack};
   return Result;
 }
 
