Serve waiting requests by priority and recent use of their workspace

Cause: requests that wait for a server took free slots in the order of their rechecks, and new requests took slots for which others waited. A workspace's burst was paid for by all, and refused callers returned at the same moment.

Change: with workspaces, a first call leaves its slot to a waiting request that goes first (priority, least recent use by weight, age) and can use the slot. A request behind too many others is refused early. Retry-After grows with use beyond the share and differs between requests. Without workspaces requests are served as before.

--- a/daemon/direct_metrics.cpp
+++ b/daemon/direct_metrics.cpp
@@ -85,6 +85,8 @@
             toString(static_cast<HedgeRefusal>(Index)),
         Counters.HedgesRefused.at(Index));
   Set("held", Counters.Held);
+  Set("yielded", Counters.Yielded);
+  Set("holds_cut_short", Counters.HoldsCutShort);
   Set("invalid_wishes", Counters.InvalidWishes);
   Set("open_requests", Core.openRequests());
   Set("crash_notices", Core.crashNotices());
--- a/direct/fair_share.cpp
+++ b/direct/fair_share.cpp
@@ -157,9 +157,9 @@
   return Found != Services.end() && !Found->second.Waiting.empty();
 }
 
-std::optional<RequestId> FairShare::findBefore(
-    const FlowRequest &Request,
-    const std::function<bool(RequestId)> &CanUse) const {
+std::optional<RequestId>
+FairShare::findBefore(const FlowRequest &Request,
+                      const std::function<bool(RequestId)> &CanUse) const {
   const Service *State = findService(Request);
   if (State == nullptr || State->Waiting.empty())
     return std::nullopt;
@@ -170,12 +170,12 @@
     if (Other < Own)
       Before.push_back(Other);
   }
-  const auto Last =
-      Before.begin() +
-      static_cast<std::ptrdiff_t>(std::min(MaxAsked, Before.size()));
+  const auto Last = Before.begin() + static_cast<std::ptrdiff_t>(
+                                         std::min(MaxAsked, Before.size()));
   std::partial_sort(Before.begin(), Last, Before.end());
-  const auto Found = std::find_if(
-      Before.begin(), Last, [&](const Rank &Other) { return CanUse(Other.Id); });
+  const auto Found = std::find_if(Before.begin(), Last, [&](const Rank &Other) {
+    return CanUse(Other.Id);
+  });
   return Found == Last ? std::nullopt : std::optional(Found->Id);
 }
 
--- a/direct/flow_types.h
+++ b/direct/flow_types.h
@@ -96,6 +96,10 @@
       HedgesRefused{};
   /// Requests that were held because no server could meet their objective.
   std::uint64_t Held = 0;
+  /// Requests whose first wait was to leave a slot to one that goes first.
+  std::uint64_t Yielded = 0;
+  /// Requests that no longer waited because too many others go first.
+  std::uint64_t HoldsCutShort = 0;
   /// Answers in which a server's limit or another wish could not be read.
   std::uint64_t InvalidWishes = 0;
 };
--- a/direct/request_flow.cpp
+++ b/direct/request_flow.cpp
@@ -264,7 +264,7 @@
     return {RefusalOutcome::Unknown, Reason, Duration::zero()};
   const Duration RetryAfter = Reason == RefusalReason::ServerRefused
                                   ? Policy.RetryAfterServerRefusal
-                                  : Policy.RetryAfterOverload;
+                                  : retryAfter(Flow, Policy.RetryAfterOverload);
   return {RefusalOutcome::NotRun, Reason,
           std::clamp(Flow.ServersBusyFor, RetryAfter, Policy.MaxRetryAfter)};
 }
@@ -301,6 +301,7 @@
        {"arrivals", std::to_string(Flow.Attempts)},
        {"total_ms", toMsText(Result.Total)},
        {"added_us", std::to_string(Result.Added.count())}});
+  Shares.removeWaiting(Now, Flow.Request);
   Timers.erase({Flow.WakeAt, Id});
   Flows.erase(Id);
   Callbacks.Finished(Result);
@@ -317,6 +318,7 @@
   if (Flow.Request.Route.Idempotent)
     for (const CallId Call : Flow.OpenCalls)
       cancelCall(Now, Call);
+  Shares.removeWaiting(Now, Flow.Request);
   Timers.erase({Flow.WakeAt, Id});
   Flows.erase(Found);
 }
--- a/direct/request_flow.h
+++ b/direct/request_flow.h
@@ -5,6 +5,7 @@
 
 #include "direct/baseline_latency.h"
 #include "direct/crash_detector.h"
+#include "direct/fair_share.h"
 #include "direct/flow_types.h"
 #include "direct/hedge_policy.h"
 #include "direct/retry_budget.h"
@@ -43,6 +44,14 @@
   /// this share of it has passed since the arrival.
   double MaxHoldShare = 0.35;
   Duration HoldRecheckInterval = std::chrono::milliseconds(25);
+  /// The same for a request that leaves a free slot to one that goes first.
+  Duration YieldInterval = std::chrono::milliseconds(5);
+  /// A waiting request is refused early if its expected wait is longer than the
+  /// time left for it, times this factor.
+  double WaitErrorFactor = 2;
+  /// Greatest factor by which Retry-After grows for callers of a workspace that
+  /// uses more than its share.
+  double MaxRetryAfterFactor = 10;
   /// Retry-After for callers of refused requests that did not run: in general,
   /// and when the last server refused the request.
   Duration RetryAfterOverload = std::chrono::milliseconds(80);
@@ -227,6 +236,21 @@
   findAvailable(const FlowState &Flow,
                 const std::vector<RankedServer> &RankedServers,
                 bool RecentOnly);
+  /// Lets the request wait for a server until \p Next and then choose again.
+  void waitUntil(Instant Now, FlowState &Flow, Instant Next);
+  void logHold(FlowState &Flow, const RankedServer *Available);
+  /// Whether the request competes with others by workspace; only first calls of
+  /// deployments with workspaces do.
+  static bool isShared(const FlowState &Flow);
+  /// Whether too many requests go first for this one to be served in time.
+  bool waitsInVain(Instant Now, const FlowState &Flow, Instant HoldUntil);
+  /// Sends the request to \p Target, unless a waiting request that goes first
+  /// can use the slot.
+  void sendInTurn(Instant Now, FlowState &Flow, const RankedServer &Target);
+  bool canUse(Instant Now, const FlowState &Flow, const RankedServer &Target);
+  /// Returns \p Least, or for workspaces a longer time that grows with their
+  /// use and differs between requests.
+  Duration retryAfter(const FlowState &Flow, Duration Least) const;
   bool meetsObjective(Instant Now, const FlowState &Flow,
                       const RankedServer &Server) const;
   void sendCall(Instant Now, FlowState &Flow, const RankedServer &Target);
@@ -295,6 +319,7 @@
   ServerLoadTable &ServerLoads;
   BaselineLatency Latencies;
   HedgePolicy Hedging;
+  FairShare Shares;
   CrashDetector Crashes;
   ServerConstraints Constraints;
   std::unordered_map<RequestId, FlowState> Flows;
--- a/direct/request_flow_choice.cpp
+++ b/direct/request_flow_choice.cpp
@@ -1,5 +1,5 @@
 /// \file
-/// Server selection of RequestFlow: ranking, probes and holding.
+/// Server selection of RequestFlow: ranking and probes.
 #include "direct/request_flow.h"
 
 #include <algorithm>
@@ -20,7 +20,7 @@
       Ranking.rank(Now, Servers, ServerLoads, findBaseline(Flow));
   const RankedServer &Best = RankedServers.front();
   if (Best.HasFreshLoad && Best.IsNominal) {
-    sendCall(Now, Flow, Best);
+    sendInTurn(Now, Flow, Best);
     return;
   }
   const bool Waiting = !Flow.OpenProbes.empty() && Now < Flow.ChooseAgainAt;
@@ -42,7 +42,7 @@
       [](const RankedServer &Server) { return Server.HasRecentLoad; });
   const RankedServer *Selected = findAvailable(Flow, RankedServers, AnyRecent);
   if (Selected != nullptr && meetsObjective(Now, Flow, *Selected))
-    sendCall(Now, Flow, *Selected);
+    sendInTurn(Now, Flow, *Selected);
   else
     holdRequest(Now, Flow, findAvailable(Flow, RankedServers, false));
 }
@@ -100,35 +100,6 @@
   }
 }
 
-void RequestFlow::waitForServer(Instant Now, FlowState &Flow,
-                                Instant NextSendableAt, SendBlock Block) {
-  if (!Flow.OpenCalls.empty()) {
-    recordHedgeRefusal(Flow, HedgeRefusal::ServersShort);
-    Flow.ChoosingServer = false;
-    updateTimer(Flow);
-    return;
-  }
-  if (NextSendableAt <= holdUntil(Policy, Flow)) {
-    Flow.ChooseAgainAt = NextSendableAt;
-    updateTimer(Flow);
-    return;
-  }
-  Flow.ChoosingServer = false;
-  const bool ComesLater = NextSendableAt != Instant::max();
-  if (ComesLater)
-    Flow.ServersBusyFor = NextSendableAt - Now;
-  log("no_server_allowed", Flow,
-      {{"why", toString(Block)},
-       {"next_ms", ComesLater ? toMsText(NextSendableAt - Now) : "none"}});
-  finishWithFailure(Now, Flow, RefusalReason::NoServer);
-}
-
-Instant RequestFlow::holdUntil(const FlowPolicy &Policy,
-                               const FlowState &Flow) {
-  return Flow.Request.Arrived +
-         scaled(Flow.Request.Route.Objective, Policy.MaxHoldShare);
-}
-
 bool RequestFlow::meetsObjective(Instant Now, const FlowState &Flow,
                                  const RankedServer &Server) const {
   const HostRoute &Route = Flow.Request.Route;
@@ -183,41 +154,6 @@
   return Id;
 }
 
-void RequestFlow::holdRequest(Instant Now, FlowState &Flow,
-                              const RankedServer *Available) {
-  const Instant HoldUntil = holdUntil(Policy, Flow);
-  if (Now < HoldUntil) {
-    if (!Flow.WasHeld) {
-      ++Counters.Held;
-      log("held", Flow,
-          {{"best", Available ? Available->Server->Id.value() : "all_full"},
-           {"expected_ms",
-            Available ? toMsText(Available->ExpectedLatency) : "none"},
-           {"figures_age_ms",
-            Available && Available->LoadAge < Policy.ProbeTimeout
-                ? toMsText(Available->LoadAge)
-                : "none"},
-           {"asked", std::to_string(Flow.ProbedServers.size())},
-           {"until_ms", toMsText(HoldUntil - Flow.Request.Arrived)}});
-      Flow.WasHeld = true;
-    }
-    Flow.ProbedServers.clear();
-    // Each recheck probes for one round.
-    Flow.ProbeRounds = Policy.MaxProbeRounds - 1;
-    Flow.ChooseAgainAt = Now + Policy.HoldRecheckInterval;
-    updateTimer(Flow);
-    return;
-  }
-  // An answer after the objective is still useful before the deadline.
-  if (Available != nullptr &&
-      Now + Available->ExpectedLatency < Flow.Request.Deadline) {
-    sendCall(Now, Flow, *Available);
-    return;
-  }
-  Flow.ChoosingServer = false;
-  finishWithFailure(Now, Flow, RefusalReason::Overloaded);
-}
-
 void RequestFlow::onProbeResult(Instant Now, CallId Id,
                                 const ProbeResult &Result) {
   const auto Found = Probes.find(Id);
--- a/direct/request_flow_hedge.cpp
+++ b/direct/request_flow_hedge.cpp
@@ -37,6 +37,8 @@
 }
 
 bool RequestFlow::hasWaiting(const ServiceName &Service) const {
+  if (Shares.hasWaiting(Service))
+    return true;
   return std::any_of(Flows.begin(), Flows.end(), [&Service](const auto &Entry) {
     const FlowState &Flow = Entry.second;
     return Flow.WasHeld && Flow.ChoosingServer && Flow.OpenCalls.empty() &&
--- a/direct/request_flow_send.cpp
+++ b/direct/request_flow_send.cpp
@@ -24,6 +24,10 @@
   ++Counters.Calls;
   ServerLoads.recordStart(Server.Id);
   Constraints.recordSend(Now, Server.Id);
+  if (Flow.Request.ReplacesKey) {
+    Shares.recordSend(Now, Flow.Request);
+    Shares.removeWaiting(Now, Flow.Request);
+  }
   scheduleHedge(Now, Flow, Call.ExpectedFactor);
   updateTimer(Flow);
   Callbacks.Call({Id, Server, Flow.Request.Request, Remaining,
