--- a/daemon/direct_metrics.cpp
+++ b/daemon/direct_metrics.cpp
@@ -87,6 +87,8 @@
   Set("held", Counters.Held);
   Set("sends_to_gone_callers", Counters.SendsToGoneCallers);
   Set("late_sends", Counters.LateSends);
+  Set("yielded", Counters.Yielded);
+  Set("holds_cut_short", Counters.HoldsCutShort);
   Set("invalid_wishes", Counters.InvalidWishes);
   Set("open_requests", Core.openRequests());
   Set("crash_notices", Core.crashNotices());
--- a/direct/flow_types.h
+++ b/direct/flow_types.h
@@ -103,6 +103,10 @@
   /// deadline had passed, although no event had told of it.
   std::uint64_t SendsToGoneCallers = 0;
   std::uint64_t LateSends = 0;
+  /// Requests whose first wait was to leave a slot to one that goes first.
+  std::uint64_t Yielded = 0;
+  /// Requests that no longer waited because too many others go first.
+  std::uint64_t HoldsCutShort = 0;
   /// Answers in which a server's limit or another wish could not be read.
   std::uint64_t InvalidWishes = 0;
 };
