--- a/bench/decision_bench.cpp
+++ b/bench/decision_bench.cpp
@@ -4,6 +4,7 @@
 #include "core/node.h"
 #include "core/ownership.h"
 #include "direct/server_constraints.h"
+#include "direct/workspace_directory.h"
 #include "settings/configuration_file.h"
 
 #include <benchmark/benchmark.h>
@@ -177,6 +178,40 @@
 }
 BENCHMARK(checkServerConstraints)->ArgsProduct({{30, 3000}, {0, 1}});
 
+RouteConfigurationPtr makeWorkspaces(std::size_t Count) {
+  RouteConfiguration Result;
+  Result.Workspaces.emplace(Count);
+  for (std::size_t Index = 0; Index < Count; ++Index) {
+    const std::string Name = "workspace-" + std::to_string(Index);
+    (*Result.Workspaces)[Index].Name = Name;
+    (*Result.Workspaces)[Index].Keys = {digestKey(Name + "-1"),
+                                        digestKey(Name + "-2")};
+  }
+  return std::make_shared<const RouteConfiguration>(std::move(Result));
+}
+
+/// Hashing and looking up the key of one request among those of the workspaces,
+/// two each.
+void checkKey(benchmark::State &State) {
+  const WorkspaceDirectory Directory(
+      makeWorkspaces(static_cast<std::size_t>(State.range(0))));
+  const HostRoute Route;
+  for (auto _ : State) {
+    const CallerKey Key{digestKey("workspace-7-2"), false};
+    benchmark::DoNotOptimize(Directory.check(Route, Key));
+  }
+}
+BENCHMARK(checkKey)->Arg(78)->Arg(10'000);
+
+/// Making the index when a configuration comes into force.
+void indexKeys(benchmark::State &State) {
+  const RouteConfigurationPtr Configuration =
+      makeWorkspaces(static_cast<std::size_t>(State.range(0)));
+  for (auto _ : State)
+    benchmark::DoNotOptimize(WorkspaceDirectory(Configuration));
+}
+BENCHMARK(indexKeys)->Arg(78)->Arg(10'000);
+
 } // namespace
 } // namespace mimosacart
 
--- a/soak/main.cpp
+++ b/soak/main.cpp
@@ -19,6 +19,9 @@
             "make hosts use up their retries, with herd restarts and pauses");
 DEFINE_bool(cut_trouble, false,
             "cut hosts off from each other, the store and servers");
+DEFINE_bool(
+    workspaces, false,
+    "callers need keys, and send some that are not valid or over a quota");
 DEFINE_double(retry_slack, 50, "fixed part of the fleet's limit on retries");
 DEFINE_string(program, "build/daemon/mimosacartd", "path of mimosacartd");
 DEFINE_string(folder, "build/soak-out",
@@ -43,6 +46,7 @@
     Options.EndlessCallers = FLAGS_endless;
     Options.RetryTrouble = FLAGS_retry_trouble;
     Options.CutTrouble = FLAGS_cut_trouble;
+    Options.Workspaces = FLAGS_workspaces;
     Options.Retries.Slack = FLAGS_retry_slack;
     Options.Program = FLAGS_program;
     Options.Folder = fmt::format("{}/{}", FLAGS_folder, Seed);
@@ -51,15 +55,17 @@
     for (const std::string &Violation : Violations)
       fmt::print("broken {}\n", Violation);
     const PromiseChecker &Checker = Run.checker();
-    fmt::print("seed {}: {} requests, {} served, {} at limited servers, {} "
-               "pauses, {} answers of leaving servers, {} refusals sent twice, "
-               "{} repeats, at most {:.2f} of the limit, peak of {} MB, {} "
-               "promises broken\n",
-               Seed, Checker.requestCount(), Checker.servedCount(),
-               Checker.wishes().limitedArrivals(), Checker.wishes().pauses(),
-               Checker.wishes().leavingAnswers(), Run.refusalCopies(),
-               Run.retries().repeats(), Run.retries().mostUsed(),
-               Run.peakMemoryMb(), Violations.size());
+    fmt::print(
+        "seed {}: {} requests, {} served, {} at limited servers, {} "
+        "pauses, {} answers of leaving servers, {} refusals sent twice, "
+        "{} repeats, at most {:.2f} of the limit, {} keyed runs, {} over "
+        "quota, peak of {} MB, {} promises broken\n",
+        Seed, Checker.requestCount(), Checker.servedCount(),
+        Checker.wishes().limitedArrivals(), Checker.wishes().pauses(),
+        Checker.wishes().leavingAnswers(), Run.refusalCopies(),
+        Run.retries().repeats(), Run.retries().mostUsed(),
+        Run.keys().executions(), Run.keys().refusals(), Run.peakMemoryMb(),
+        Violations.size());
     AllPromisesKept = AllPromisesKept && Violations.empty();
   }
   return AllPromisesKept ? 0 : 1;
--- a/soak/promises.h
+++ b/soak/promises.h
@@ -118,15 +118,15 @@
   /// What servers asked for and which requests reached them.
   WishChecker &wishes() { return Wishes; }
   const WishChecker &wishes() const { return Wishes; }
+  /// Whether a disturbance affected \p Host between \p From and \p To; planned
+  /// ones count only if \p IncludePlanned.
+  bool wasDisturbed(std::size_t Host, SoakTime From, SoakTime To,
+                    bool IncludePlanned) const;
   std::size_t requestCount() const { return Requests.size(); }
   /// Number of requests that got a 2xx status.
   std::size_t servedCount() const;
 
 private:
-  /// Whether a disturbance affected \p Host between \p From and \p To; planned
-  /// ones count only if \p IncludePlanned.
-  bool wasDisturbed(std::size_t Host, SoakTime From, SoakTime To,
-                    bool IncludePlanned) const;
   /// Whether an interruption affects \p Host at \p At.
   bool wasInterrupted(std::size_t Host, SoakTime At) const;
   /// Description of the guarantee that \p Request violates, or empty.
--- a/soak/soak.cpp
+++ b/soak/soak.cpp
@@ -15,9 +15,8 @@
 
 namespace {
 
-constexpr const char *ReadService = "records";
-/// Service whose only server answers without end.
 constexpr std::size_t ReadServers = 4;
+/// Service whose only server answers without end.
 constexpr const char *EndlessService = "endless";
 constexpr std::size_t MaxBodyBytes = 64U << 20U;
 constexpr unsigned FirstPort = 18080;
@@ -114,7 +113,11 @@
       Context, Server.Id, Server.Service,
       SoakServer::Hooks{
           [this](const ServerEvent &Event) {
-            Checker.onExecutionStarted(Event);
+            if (Keys.knows(Event.RequestId))
+              Keys.onExecuted(std::chrono::steady_clock::now(), Event.RequestId,
+                              Event.Workspace, Event.HasKey);
+            else
+              Checker.onExecutionStarted(Event);
           },
           [this](const ServerEvent &Event) { Checker.onArrived(Event); },
           [this](const ServerEvent &Event) { Checker.onAnswerSent(Event); },
@@ -151,30 +154,31 @@
   Checker.allowService(true, ReadService);
   const std::string Timeout =
       fmt::format("{}ms", PromiseChecker::RouteTimeout.count());
-  const Json Columns = {"name", "host",     "prefix",  "routeKind",  "timeout",
-                        "slo",  "priority", "service", "maxAttempts"};
-  const Json Configuration = {
-      {"version", ++ConfigurationVersion},
-      {"routes",
-       {{"columns", Columns},
-        {"rows",
-         {{"read", "soak.example", "/read/", "safe", Timeout, "500ms", 1,
-           ReadService, 2},
-          {"endless", "soak.example", "/endless/", "safe", Timeout, "500ms", 2,
-           EndlessService, 2},
-          {"once", "soak.example", "/once/", "unsafe", Timeout, "500ms", 0,
-           NewOnceService, 2}}}}},
-      {"services",
-       {{"columns", {"name", "healthPath", "maxConns"}},
-        {"rows",
-         {{ReadService, "/health", 100},
-          {"ledger", "/health", 100},
-          {"archive", "/health", 100},
-          {EndlessService, "/health", 100}}}}},
-      {"limits",
-       {{"headerTimeout", "3000ms"},
-        {"idleTimeout", "15000ms"},
-        {"maxBodyBytes", MaxBodyBytes}}}};
+  const Json Columns = {"name", "host",     "prefix",  "routeKind",   "timeout",
+                        "slo",  "priority", "service", "maxAttempts", "noAuth"};
+  Json Configuration = {{"version", ++ConfigurationVersion},
+                        {"routes",
+                         {{"columns", Columns},
+                          {"rows",
+                           {{"read", "soak.example", "/read/", "safe", Timeout,
+                             "500ms", 1, ReadService, 2, false},
+                            {"endless", "soak.example", "/endless/", "safe",
+                             Timeout, "500ms", 2, EndlessService, 2, true},
+                            {"once", "soak.example", "/once/", "unsafe",
+                             Timeout, "500ms", 0, NewOnceService, 2, false}}}}},
+                        {"services",
+                         {{"columns", {"name", "healthPath", "maxConns"}},
+                          {"rows",
+                           {{ReadService, "/health", 100},
+                            {"ledger", "/health", 100},
+                            {"archive", "/health", 100},
+                            {EndlessService, "/health", 100}}}}},
+                        {"limits",
+                         {{"headerTimeout", "3000ms"},
+                          {"idleTimeout", "15000ms"},
+                          {"maxBodyBytes", MaxBodyBytes}}}};
+  if (Options.Workspaces)
+    Configuration["tenants"] = makeWorkspaces();
   ConfigurationRow = Configuration.dump();
   Store.put("op", "config", ConfigurationRow);
 }
@@ -207,7 +211,8 @@
       "address = \"{}\"\n{}[peers]\nseeds = [\"{}\"]\nadvertise = \"{}\"\n"
       "[direct]\n"
       "directory = \"{}\"\nreadiness = \"{}\"\nstop_grace = \"4s\"\n"
-      "retry_share = {}\nretry_slack = {}\nretry_window = \"{}s\"\n",
+      "retry_share = {}\nretry_slack = {}\nretry_window = \"{}s\"\n"
+      "quota_window = \"{}s\"\nquota_overrun = {}\nquota_slack = {}\n",
       Name,
       Options.TellMemory ? fmt::format("memory_mb = {}\n", Options.MemoryMb)
                          : "",
@@ -218,7 +223,8 @@
           : fmt::format("[network]\nsource = \"{}\"\n", Host.SourceAddress),
       fmt::join(ToldSeeds, "\", \""), Host.AdvertisedPeerAddress,
       allocateAddress(), allocateAddress(), Options.Retries.Share,
-      Options.Retries.Slack, Options.Retries.Window.count());
+      Options.Retries.Slack, Options.Retries.Window.count(),
+      Quota.Window.count(), Quota.Overrun, Quota.Slack);
   File.close();
   Host.Process = std::make_unique<HostProcess>(
       Options.Program, Path, Options.Folder + "/" + Name + ".log");
@@ -250,6 +256,7 @@
   scheduleEndlessPeers();
   scheduleRetryTrouble();
   scheduleCutTrouble();
+  scheduleWorkspaceTrouble();
   // The last change of the configuration. Every host must apply it when
   // RecoveredBeforeEnd is left of the run.
   runAfter(std::chrono::duration_cast<std::chrono::milliseconds>(
@@ -261,6 +268,8 @@
   Context.run_until(End + PromiseChecker::RouteTimeout + 1s);
   for (const std::string &Violation : Retries.findViolations())
     Checker.addViolation(Violation);
+  for (const std::string &Violation : Keys.findViolations(LimitedWorkspace))
+    Checker.addViolation(Violation);
   return Checker.findViolations(End - RecoveredBeforeEnd, Hosts.size(),
                                 OnceService);
 }
@@ -301,6 +310,9 @@
        {"X-Deadline-Ms", "2500"}},
       "",
       ""};
+  if (Options.Workspaces)
+    Call.Request.Headers.push_back(
+        {"Authorization", std::string("Bearer ") + OpenWorkspaceKey});
   const std::string Id = Checker.addRequest(std::move(Request)).Id;
   CallerClient.call(
       std::move(Call), [this, Id, MayRepeat](const HttpResult &Result) {
--- a/soak/soak.h
+++ b/soak/soak.h
@@ -11,8 +11,11 @@
 #include "soak/refusal_copies.h"
 #include "soak/retry_checker.h"
 #include "soak/soak_server.h"
+#include "soak/workspace_checker.h"
 #include "tests/standins/store_standin.h"
 
+#include <nlohmann/json.hpp>
+
 #include <map>
 #include <memory>
 #include <optional>
@@ -49,6 +52,9 @@
   /// Whether hosts are cut off from each other, the store and servers, callers
   /// repeat at once, and hosts know the addresses of three hosts only.
   bool CutTrouble = false;
+  /// Whether callers need keys, and send some that are not valid or over a
+  /// quota.
+  bool Workspaces = false;
   /// Path of `mimosacartd`.
   std::string Program;
   /// Folder for the hosts' settings files and logs.
@@ -68,6 +74,7 @@
   /// Number of refusals that were sent once more.
   std::size_t refusalCopies() const { return Copies.count(); }
   const RetryChecker &retries() const { return Retries; }
+  const WorkspaceChecker &keys() const { return Keys; }
   /// Largest memory of a host process, in megabytes.
   std::size_t peakMemoryMb() const { return PeakMemoryMb; }
 
@@ -163,6 +170,13 @@
   void troubleServers(ServerTrouble Kind);
   /// Schedules cuts between hosts, and between hosts, the store and servers.
   void scheduleCutTrouble();
+  /// The table of workspaces in the configuration.
+  nlohmann::json makeWorkspaces() const;
+  /// Schedules callers of a workspace with a quota and with keys that are not
+  /// valid.
+  void scheduleWorkspaceTrouble();
+  void sendKeyedRequests();
+  void sendKeyedRequest();
   void startCut();
   Cut drawCut(const std::vector<std::size_t> &Part,
               const std::vector<std::size_t> &Rest);
@@ -204,6 +218,11 @@
   /// Draws a duration from \p MinMs to \p MaxMs, both included.
   std::chrono::milliseconds drawDuration(unsigned MinMs, unsigned MaxMs);
 
+  static constexpr const char *ReadService = "records";
+  static constexpr const char *OpenWorkspace = "open";
+  static constexpr const char *OpenWorkspaceKey = "key-open";
+  static constexpr const char *LimitedWorkspace = "limited";
+
   const SoakOptions Options;
   std::mt19937_64 Random;
   RefusalCopies Copies{Options.Seed};
@@ -214,6 +233,14 @@
   RetryChecker Retries;
   std::mt19937_64 RetryRandom;
   std::mt19937_64 CutRandom;
+  std::mt19937_64 WorkspaceRandom;
+  const SoakQuota Quota;
+  WorkspaceChecker Keys{Quota,
+                        [this](std::size_t Host, SoakTime From, SoakTime To) {
+                          return Checker.wasDisturbed(Host, From, To, true);
+                        }};
+  /// When a key of the open workspace was taken away.
+  std::optional<SoakTime> RevokedAt;
   std::string StoreAddress;
   std::vector<std::unique_ptr<ServerInstance>> Servers;
   std::vector<EntryHost> Hosts;
--- a/soak/soak_server.cpp
+++ b/soak/soak_server.cpp
@@ -76,7 +76,13 @@
     return;
   }
   const std::string RequestId = findFieldOrEmpty(Request, "X-Request-Id");
-  ServerEvent Event{RequestId, Service, Id, Wishes.Leaving, Wishes.Pause};
+  ServerEvent Event{RequestId,
+                    Service,
+                    Id,
+                    Wishes.Leaving,
+                    Wishes.Pause,
+                    findFieldOrEmpty(Request, "X-Tenant-Id"),
+                    findField(Request.Headers, "Authorization") != nullptr};
   Callbacks.Reached(Event);
   if (findFieldOrEmpty(Request, "X-Expect-Instance") != Id) {
     Exchange->respond({421,
--- a/soak/soak_server.h
+++ b/soak/soak_server.h
@@ -22,6 +22,9 @@
   bool Leaving = false;
   /// Pause that the refusal asks for; zero if it asks for none.
   std::chrono::milliseconds Pause{};
+  /// Workspace that the request names, and whether it carries a key.
+  std::string Workspace;
+  bool HasKey = false;
 };
 
 /// What a server says about the requests that it takes.
