--- a/direct/fleet_quotas.cpp
+++ b/direct/fleet_quotas.cpp
@@ -10,10 +10,11 @@
 
 namespace {
 
-/// Longest time that a request waits for a token: a few round trips between
-/// data centres, and little compared with the tightest objective (100 ms).
+/// Longest time that a request waits for a token. It covers a few round trips
+/// between data centres and is spent before a server is chosen, so it has to be
+/// short compared with common objectives.
 constexpr Duration MaxWait = std::chrono::milliseconds(40);
-/// A request that is not answered by then is taken for lost.
+/// An unanswered request counts as lost after this time.
 constexpr Duration AskTimeout = std::chrono::milliseconds(150);
 /// Shortest time between two messages to the same lender, so that busy
 /// workspaces share messages.
--- a/direct/fleet_quotas_lending.cpp
+++ b/direct/fleet_quotas_lending.cpp
@@ -21,7 +21,7 @@
 constexpr double Milli = 1000;
 
 /// Orders hosts for a workspace, as stableHash() of both texts would, but
-/// without reading them again for each pair: there may be 10,000 workspaces.
+/// without reading them again for each pair.
 std::uint64_t combine(std::uint64_t Workspace, std::uint64_t Host) {
   constexpr std::uint64_t Multiplier = 0x9e3779b97f4a7c15U;
   constexpr unsigned Half = 32;
--- a/direct/flow_types.h
+++ b/direct/flow_types.h
@@ -27,7 +27,8 @@
   /// Workspace of the caller; null if the route needs none.
   WorkspacePtr Workspace;
   /// The caller's key is meant for this host: a server gets the name of the
-  /// workspace in its place.
+  /// workspace in its place. Set for all requests if the configuration has
+  /// workspaces; FairShare applies only then.
   bool ReplacesKey = false;
   /// 0 is the most urgent. That of the workspace, if it has one, else of the
   /// route.
@@ -105,7 +106,8 @@
   std::uint64_t LateSends = 0;
   /// Requests whose first wait was to leave a slot to one that goes first.
   std::uint64_t Yielded = 0;
-  /// Requests that no longer waited because too many others go first.
+  /// Requests refused before the end of their hold because too many others go
+  /// first.
   std::uint64_t HoldsCutShort = 0;
   /// Answers in which a server's limit or another wish could not be read.
   std::uint64_t InvalidWishes = 0;
--- a/direct/hedge_policy.cpp
+++ b/direct/hedge_policy.cpp
@@ -13,19 +13,20 @@
 constexpr double DelayQuantile = 0.95;
 /// Two samples lie above the quantile.
 constexpr double MinSamples = 40;
-/// A host with one request a second for a route keeps about 170 samples.
+/// Long enough for a host with one request a second to keep more than
+/// MinSamples.
 constexpr Duration SampleHalfLife = std::chrono::minutes(2);
 /// Bounds the age of the samples on busy hosts.
 constexpr double MaxSamples = 4000;
 /// Routes beyond this number are not learnt.
 constexpr std::size_t MaxRoutes = 1024;
 
-/// The share holds in this window. A host with three requests a second needs
-/// about a minute to earn a hedge at a share of 0.01.
+/// The share holds in this window. A shorter one would keep hosts with few
+/// requests from ever earning a whole hedge.
 constexpr std::uint32_t ShareWindow = 60;
 /// In this window too, so that hedges of a whole minute do not come at once.
-/// Two hedges are allowed in any case: with one, a host with three requests a
-/// second could use only half of a share of 0.05.
+/// Two hedges are allowed in any case, so that hosts with few requests can use
+/// their share.
 constexpr std::uint32_t BurstWindow = 10;
 constexpr double MinBurst = 2;
 
--- a/direct/quota_lender.cpp
+++ b/direct/quota_lender.cpp
@@ -86,7 +86,9 @@
   constexpr double MaxWaitsPerSecond = 50;
   constexpr Duration BusyPeriod = std::chrono::seconds(1);
   if (Now - WaitsCountedFrom >= BusyPeriod) {
-    IsBusy = Waits >= 2 * MaxWaitsPerSecond;
+    // Counts of an earlier period say nothing about this one.
+    IsBusy = Now - WaitsCountedFrom < 2 * BusyPeriod &&
+             Waits >= 2 * MaxWaitsPerSecond;
     Waits = 0;
     WaitsCountedFrom = Now;
   }
@@ -95,7 +97,6 @@
   if (IsBusy)
     Spacing = std::max(Spacing, scaled(BusyPeriod, 1 / MaxWaitsPerSecond));
   NextSlotAt = std::min(std::max(Next, NextSlotAt + Spacing), Now + MaxWait);
-
   return NextSlotAt - Now;
 }
 
--- a/direct/request_flow_choice.cpp
+++ b/direct/request_flow_choice.cpp
@@ -73,8 +73,8 @@
   Candidates Result;
   const std::size_t Hosts = Callbacks.HostCount();
   const auto &Reused = Subset.reused(Now, Registry, Service, Hosts);
-  // The third round of probes comes often on a small host, whose probes take
-  // longer than a round.
+  // A host with few requests keeps to its reused servers until the request is
+  // held; otherwise slow probes alone would make it open new connections.
   const bool IsReduced =
       Reused.size() < Subset.preferred(Registry, Service, Hosts).size();
   if (Flow.ProbeRounds < Policy.PreferredProbeRounds ||
--- a/direct/request_flow_send.cpp
+++ b/direct/request_flow_send.cpp
@@ -54,11 +54,11 @@
   if (Flow.Request.Deadline - Now < Policy.MinRemaining) {
     Reason = RefusalReason::DeadlinePassed;
     ++Counters.LateSends;
-    // Another host may have reported a crash while this request waited.
   } else if (isQuarantined(Flow)) {
+    // Another host may have reported a crash while this request waited.
     Reason = RefusalReason::Quarantined;
-    // A call that never reached a server does not count as an attempt.
   } else if (Flow.Attempts > 0 && !spendRetry(Now, Flow, Target)) {
+    // A call that never reached a server does not count as an attempt.
     Reason = RefusalReason::Overloaded;
   }
   if (Reason == RefusalReason::None)
--- a/direct/request_rate.h
+++ b/direct/request_rate.h
@@ -11,8 +11,8 @@
 /// Requests per second, as an average in which older requests count less.
 class RequestRate {
 public:
-  /// Time in which the weight of a request falls to 1/e. Three requests a
-  /// second give an error of a fifth, half a step of ServerSubset's sizes.
+  /// Time in which the weight of a request falls to 1/e. Long enough for a
+  /// useful rate from a few requests a second.
   static constexpr Duration SmoothingTime = std::chrono::seconds(10);
   /// Time from the first request until there is a rate.
   static constexpr Duration MeasuringTime = std::chrono::seconds(10);
--- a/direct/server_constraints.cpp
+++ b/direct/server_constraints.cpp
@@ -161,14 +161,14 @@
     return SendBlock::Quiet;
   if (limitAllowsAt(Now, Server.Id) > Now)
     return SendBlock::OverLimit;
-  return ColdOnes.sendableAt(Now, Server) > Now ? SendBlock::Cold
-                                                : SendBlock::None;
+  return ColdLimits.sendableAt(Now, Server) > Now ? SendBlock::Cold
+                                                  : SendBlock::None;
 }
 
 Instant ServerConstraints::allowedAt(Instant Now,
                                      const DiscoveredServer &Server) {
   return std::max(limitAllowsAt(Now, Server.Id),
-                  ColdOnes.sendableAt(Now, Server));
+                  ColdLimits.sendableAt(Now, Server));
 }
 
 Instant ServerConstraints::sendableAt(Instant Now,
@@ -205,7 +205,7 @@
 }
 
 void ServerConstraints::recordSend(Instant Now, const ServerName &Server) {
-  ColdOnes.recordSend(Now, Server);
+  ColdLimits.recordSend(Now, Server);
   const auto Found = Limits.find(Server);
   if (Found == Limits.end())
     return;
--- a/direct/server_constraints.h
+++ b/direct/server_constraints.h
@@ -50,7 +50,8 @@
 
   explicit ServerConstraints(PositionHook FindPosition,
                              ColdServerPolicy Policy = {})
-      : FindPosition(FindPosition), ColdOnes(Policy, std::move(FindPosition)) {}
+      : FindPosition(FindPosition),
+        ColdLimits(Policy, std::move(FindPosition)) {}
 
   /// Records the limit that the server names, in requests a second from all
   /// hosts together; nothing if it names none. Returns whether it changed.
@@ -65,12 +66,12 @@
   /// Sets the requests a second that a cold server of each service takes from
   /// all hosts together. Cold servers of other services take any number.
   void setColdLimits(ColdServers::LimitMap Limits) {
-    ColdOnes.setLimits(std::move(Limits));
+    ColdLimits.setLimits(std::move(Limits));
   }
   /// Records that the server is cold for \p Left, see ColdServers.
   std::optional<double> setWarmUp(Instant Now, const DiscoveredServer &Server,
                                   Duration Left) {
-    return ColdOnes.setWarmUp(Now, Server, Left);
+    return ColdLimits.setWarmUp(Now, Server, Left);
   }
   /// Forgets what another incarnation of the server said, except that it
   /// leaves: its entry may come back late.
@@ -94,7 +95,7 @@
   /// Number of servers that want no requests of this host at \p Now.
   std::size_t quietServers(Instant Now) const;
   /// Number of servers that get few requests at \p Now because they are cold.
-  std::size_t coldServers(Instant Now) const { return ColdOnes.count(Now); }
+  std::size_t coldServers(Instant Now) const { return ColdLimits.count(Now); }
 
 private:
   struct NamedLimit {
@@ -121,7 +122,7 @@
   std::map<ServerName, Instant> QuietUntil;
   /// Last incarnation of each server that has said that it is leaving.
   std::map<ServerName, std::uint64_t> LeavingIncarnations;
-  ColdServers ColdOnes;
+  ColdServers ColdLimits;
 };
 
 } // namespace mimosacart
--- a/direct/server_subset.h
+++ b/direct/server_subset.h
@@ -17,11 +17,12 @@
   std::size_t MinServers = 12;
   /// Average number of hosts that have a server in their subset.
   std::size_t HostsPerServer = 4;
-  /// The same as MinServers for a host with few requests. A third of the
-  /// servers may be slow at any moment; all of six are in one case of 700.
+  /// The same as MinServers for a host with few requests. With six it is
+  /// unlikely that all are slow at once, even if many servers are.
   std::size_t MinReusedServers = 6;
   /// A host with few requests uses so few servers that each of them gets a
-  /// request in this time on average. Connections are kept for 8 s.
+  /// request in this time on average. Must be well below the time for which
+  /// idle connections are kept.
   Duration ReuseInterval = std::chrono::milliseconds(1500);
   /// Sizes between MinReusedServers and MinServers differ by this.
   std::size_t SizeStep = 3;
--- a/net/peer_transport.cpp
+++ b/net/peer_transport.cpp
@@ -23,7 +23,7 @@
 constexpr int ReconnectMs = 50;
 constexpr int MaxReconnectMs = 500;
 /// Bounds of the messages received in a row before other events are handled.
-/// With 256 messages and no time limit, bursts held up callers on small hosts.
+/// Callers' events must not wait for a long burst of messages.
 constexpr unsigned ReceiveBatch = 16;
 constexpr auto MaxReceiveTime = std::chrono::milliseconds(2);
 /// How long messages wait for the first connection to a peer, and how often
--- a/net/response_head.cpp
+++ b/net/response_head.cpp
@@ -84,7 +84,7 @@
 const char *checkField(std::string_view Line, BodyLength &Length) {
   const std::size_t Colon = Line.find(':');
   if (Colon == Line.npos || Colon == 0)
-    return "a field has no name";
+    return "a field line has no name";
   const std::string_view Name = Line.substr(0, Colon);
   if (!std::all_of(Name.begin(), Name.end(), isTokenByte))
     return "the name of a field is not a token";
@@ -96,9 +96,9 @@
   if (!equalsIgnoringCase(Name, "Content-Length"))
     return nullptr;
   if (!isDigits(Value))
-    return "the length is not a number";
+    return "Content-Length is not a number";
   if (Length.Declared && *Length.Declared != Value)
-    return "two lengths differ";
+    return "Content-Length values differ";
   Length.Declared = Value;
   return nullptr;
 }
@@ -107,14 +107,14 @@
 /// they do.
 const char *checkLength(unsigned Status, const BodyLength &Length) {
   if (Length.Declared && Length.HasTransferCoding)
-    return "there are a length and a transfer coding";
+    return "both Content-Length and Transfer-Encoding are present";
   const bool HasBody = Length.HasTransferCoding ||
                        (Length.Declared && Length.Declared->find_first_not_of(
                                                '0') != Length.Declared->npos);
   if (Status < FirstFinalStatus && (Length.Declared || HasBody))
     return "an interim response has a body";
   if (Status == StatusNoContent && HasBody)
-    return "a response without content has a body";
+    return "a 204 response has a body";
   return nullptr;
 }
 
@@ -123,7 +123,7 @@
     return "the status is not within 100 to 599";
   // No request asks for another protocol.
   if (Status == StatusSwitchingProtocols)
-    return "the protocol changes unasked";
+    return "status 101 without an upgrade request";
   return nullptr;
 }
 
--- a/net/response_head.h
+++ b/net/response_head.h
@@ -13,9 +13,9 @@
 /// the head of a valid response (RFC 9112); nothing if it is one.
 ///
 /// The check is stricter than the parser, which accepts folded lines, any three
-/// digits as a status and a length in a response without a body. What one
-/// reader takes for a field and another for a part of the body lets a response
-/// of one request get to another.
+/// digits as a status and a length in a response without a body. If two
+/// readers disagree on where the body begins, one caller may get the response
+/// to the request of another.
 std::optional<MessageError> checkResponseHead(std::string_view Head);
 
 } // namespace mimosacart
