Leave the lenders of quotas alone where there are no workspaces

Cause: each change of members counted hosts and copied their addresses for quotas, also on deployments without workspaces. Change: nothing is done there.

--- a/direct/direct_node_quotas.cpp
+++ b/direct/direct_node_quotas.cpp
@@ -51,6 +51,8 @@
 }
 
 void DirectNode::updateQuotaFleet() {
+  if (!Workspaces || !Workspaces->hasWorkspaces())
+    return;
   // The number of hosts that may be at work becomes known without a change.
   if (QuotaFleetChanges == Fleet.changes() &&
       QuotaSharingHosts == Fleet.sharingHosts())
