--- a/direct/direct_node.cpp
+++ b/direct/direct_node.cpp
@@ -437,6 +437,7 @@
   if (!std::all_of(Hosts.begin(), Hosts.end(), IsOutside))
     std::erase_if(Hosts, IsOutside);
   std::vector<std::string> Result;
+  Result.reserve(Hosts.size());
   for (const MemberRecord &Host : Hosts)
     Result.push_back(Host.CallerAddress);
   std::sort(Result.begin(), Result.end());
