--- a/tests/direct/fleet_quotas_test.cpp
+++ b/tests/direct/fleet_quotas_test.cpp
@@ -72,6 +72,7 @@
   EXPECT_LE(runCalm({1000, {500, 100}, 2, false}), 25'000);
 }
 
+// NOLINTNEXTLINE: found by GoogleTest.
 void PrintTo(const CalmCase &Case, std::ostream *Out) { *Out << Case.Hosts; }
 
 INSTANTIATE_TEST_SUITE_P(
@@ -98,6 +99,7 @@
   std::function<void(QuotaFleetModel &, double Rate)> Fault;
 };
 
+// NOLINTNEXTLINE: found by GoogleTest.
 void PrintTo(const FaultCase &Case, std::ostream *Out) { *Out << Case.Name; }
 
 class QuotaFaultTest : public testing::TestWithParam<FaultCase> {};
--- a/tests/direct/flow_simulation.cpp
+++ b/tests/direct/flow_simulation.cpp
@@ -12,7 +12,7 @@
 } // namespace
 
 FlowSimulation::FlowSimulation(SimulatedServers Servers, FlowPolicy Policy)
-    : Harness(std::move(Policy)), Settings(Servers) {
+    : Harness(Policy), Settings(Servers) {
   for (unsigned Index = 0; Index < Settings.Count; ++Index) {
     const std::string Name = "s" + std::to_string(Index);
     Harness.addServer(Name, Settings.Slots);
@@ -29,7 +29,8 @@
 }
 
 void FlowSimulation::addArrivals(double PerSecond, Duration From,
-                                 Duration Until, std::function<void()> Start) {
+                                 Duration Until,
+                                 const std::function<void()> &Start) {
   std::exponential_distribution<double> Pause(PerSecond);
   const Instant End = Harness.Now + Until;
   const auto Next = [&](Instant When) {
--- a/tests/direct/flow_simulation.h
+++ b/tests/direct/flow_simulation.h
@@ -44,7 +44,7 @@
   /// Calls \p Start at random times, \p PerSecond times a second on average,
   /// from \p From until \p Until after the start of the simulation.
   void addArrivals(double PerSecond, Duration From, Duration Until,
-                   std::function<void()> Start);
+                   const std::function<void()> &Start);
   void at(Instant When, std::function<void()> Event) {
     Events.emplace(When, std::move(Event));
   }
--- a/tests/direct/quota_fleet.cpp
+++ b/tests/direct/quota_fleet.cpp
@@ -74,7 +74,7 @@
 }
 
 void QuotaFleetModel::send(std::size_t From, const std::string &To,
-                           PeerBody Body) {
+                           const PeerBody &Body) {
   ++Messages;
   const PeerMessage Message{HostName("host-00~00000000"), IncarnationId(1), 1,
                             Now, Body};
--- a/tests/direct/quota_fleet.h
+++ b/tests/direct/quota_fleet.h
@@ -75,7 +75,7 @@
   };
 
   void start(std::size_t Index);
-  void send(std::size_t From, const std::string &To, PeerBody Body);
+  void send(std::size_t From, const std::string &To, const PeerBody &Body);
   void deliver(std::size_t From, std::size_t To, const PeerBody &Body);
   void at(Instant Time, std::function<void()> Run);
   Duration draw(int MinMs, int MaxMs);
