--- a/tests/direct/quota_fleet.cpp
+++ b/tests/direct/quota_fleet.cpp
@@ -24,8 +24,8 @@
 
 void QuotaFleetModel::start(std::size_t Index) {
   FleetQuotas::Hooks Hooks;
-  Hooks.Send = [this, Index](const std::string &To, PeerBody Body) {
-    send(Index, To, std::move(Body));
+  Hooks.Send = [this, Index](const std::string &To, const PeerBody &Body) {
+    send(Index, To, Body);
   };
   Hooks.Admitted = [this](RequestId) { Admissions.push_back(Now); };
   Hooks.Refused = [this](RequestId, Duration RetryAfter) {
